--- /dev/null
+++ b/Libraries/LibCore/assertions.cc
@@ -0,0 +1,16 @@
+#include "LibCore/assertions.h"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace crocus {
+
+void FailInvariant(std::string_view condition,
+                   std::string_view file,
+                   int line) {
+  std::cerr << file << ":" << line << ": invariant broken: " << condition
+            << std::endl;
+  std::abort();
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibCore/time.h
@@ -0,0 +1,39 @@
+#ifndef LIBCORE_TIME_H_
+#define LIBCORE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace crocus {
+
+/// Monotonic time, passed into decision code so that it runs in virtual time.
+using Duration = std::chrono::microseconds;
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Reads the monotonic clock.
+inline TimePoint MonotonicNow() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+/// Milliseconds since the Unix epoch, from the wall clock.
+inline std::int64_t UnixMilliseconds() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+/// Converts a duration to seconds.
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// Converts seconds to a duration, rounded towards zero.
+constexpr Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+}  // namespace crocus
+
+#endif  // LIBCORE_TIME_H_
--- /dev/null
+++ b/Libraries/LibHttp/http_client.cc
@@ -0,0 +1,115 @@
+#include "LibHttp/http_client.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <ulfius.h>
+
+namespace crocus {
+
+namespace {
+
+/// Owns the library's request and response.
+class Exchange {
+ public:
+  explicit Exchange(const HttpCall& call) {
+    ulfius_init_request(&this->request);
+    ulfius_init_response(&this->response);
+    ulfius_set_request_properties(
+        &this->request, U_OPT_HTTP_VERB, call.method.c_str(), U_OPT_HTTP_URL,
+        call.url.c_str(), U_OPT_TIMEOUT,
+        static_cast<unsigned long>(call.timeout.count()), U_OPT_NONE);
+    for (const auto& [name, value] : call.headers) {
+      u_map_put(this->request.map_header, name.c_str(), value.c_str());
+    }
+    if (!call.body.empty()) {
+      ulfius_set_binary_body_request(&this->request, call.body.data(),
+                                     call.body.size());
+    }
+  }
+
+  ~Exchange() {
+    ulfius_clean_request(&this->request);
+    ulfius_clean_response(&this->response);
+  }
+
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  HttpReply Reply() const {
+    HttpReply reply{.status = static_cast<int>(this->response.status),
+                    .headers = {},
+                    .body = {}};
+    const char** keys = u_map_enum_keys(this->response.map_header);
+    for (int i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
+      std::string name = keys[i];
+      std::transform(name.begin(), name.end(), name.begin(),
+                     [](unsigned char character) {
+                       return static_cast<char>(std::tolower(character));
+                     });
+      reply.headers[name] = u_map_get(this->response.map_header, keys[i]);
+    }
+    return reply;
+  }
+
+  _u_request request{};
+  _u_response response{};
+};
+
+struct PartSink {
+  const BodyPartHandler& on_part;
+  bool is_cut = false;
+};
+
+std::size_t OnPart(void* contents,
+                   std::size_t size,
+                   std::size_t count,
+                   void* user) {
+  auto* sink = static_cast<PartSink*>(user);
+  if (!sink->on_part({static_cast<const char*>(contents), size * count})) {
+    sink->is_cut = true;
+    return 0;
+  }
+  return size * count;
+}
+
+}  // namespace
+
+HttpClientLibrary::HttpClientLibrary() {
+  ulfius_global_init();
+}
+
+HttpClientLibrary::~HttpClientLibrary() {
+  ulfius_global_close();
+}
+
+Result<HttpReply> SendHttp(const HttpCall& call) {
+  std::string body;
+  TRY_ASSIGN(HttpReply reply,
+             SendHttpStreaming(call, [&body](std::string_view part) {
+               body += part;
+               return true;
+             }));
+  reply.body = std::move(body);
+  return reply;
+}
+
+Result<HttpReply> SendHttpStreaming(const HttpCall& call,
+                                    const BodyPartHandler& on_part) {
+  Exchange exchange(call);
+  PartSink sink{.on_part = on_part};
+  const int status = ulfius_send_http_streaming_request(
+      &exchange.request, &exchange.response, OnPart, &sink);
+  if (sink.is_cut) {
+    return Failure(ErrorCode::kUnavailable,
+                   call.url + ": the stream was cut by this side",
+                   Verdict::kMayHaveRun);
+  }
+  if (status != U_OK) {
+    return Failure(ErrorCode::kUnavailable, call.url + ": no complete reply",
+                   Verdict::kMayHaveRun);
+  }
+  return exchange.Reply();
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibHttp/http_message.h
@@ -0,0 +1,45 @@
+#ifndef LIBHTTP_HTTP_MESSAGE_H_
+#define LIBHTTP_HTTP_MESSAGE_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace crocus {
+
+/// Header names are in lower case.
+struct HttpRequest {
+  std::string method;
+  std::string path;
+  std::map<std::string, std::string> parameters;
+  std::map<std::string, std::string> headers;
+  std::string body;
+  /// Tells whether the caller has closed its end of the connection.
+  std::function<bool()> has_caller_left;
+
+  /// Returns the header's value, or an empty string.
+  std::string Header(const std::string& name) const;
+  /// Returns the value of a path or query parameter, or an empty string.
+  std::string Parameter(const std::string& name) const;
+};
+
+/// Body that is produced while it is sent.
+struct BodyStream {
+  /// Returns the next part; blocks until there is one. Nothing ends the body.
+  std::function<std::optional<std::string>()> next;
+  /// Called once when the response is over, also if the caller left early.
+  std::function<void()> finish;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::map<std::string, std::string> headers;
+  std::string body;
+  /// Replaces `body` when set.
+  std::optional<BodyStream> stream;
+};
+
+}  // namespace crocus
+
+#endif  // LIBHTTP_HTTP_MESSAGE_H_
--- /dev/null
+++ b/Libraries/LibHttp/http_server.cc
@@ -0,0 +1,306 @@
+#include "LibHttp/http_server.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <ulfius.h>
+
+#include "LibCore/assertions.h"
+
+namespace crocus {
+
+namespace {
+
+/// Largest part of a streamed body that is handed to the library at once.
+constexpr std::size_t kStreamBlockBytes = 16 << 10;
+
+/// Sockets of open connections by the caller's address and port.
+class SocketTable {
+ public:
+  void Add(const std::string& peer, int socket) {
+    std::lock_guard lock(this->mutex);
+    this->sockets[peer] = socket;
+  }
+
+  void Remove(const std::string& peer) {
+    std::lock_guard lock(this->mutex);
+    this->sockets.erase(peer);
+  }
+
+  /// True if the caller's end is closed or the connection is gone.
+  bool HasLeft(const std::string& peer) {
+    std::lock_guard lock(this->mutex);
+    const auto found = this->sockets.find(peer);
+    if (found == this->sockets.end()) {
+      return true;
+    }
+    pollfd descriptor{.fd = found->second, .events = POLLRDHUP, .revents = 0};
+    return poll(&descriptor, 1, 0) > 0 &&
+           (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
+ private:
+  std::mutex mutex;
+  std::unordered_map<std::string, int> sockets;
+};
+
+std::string DescribeAddress(const sockaddr* address) {
+  if (address == nullptr || address->sa_family != AF_INET) {
+    return "";
+  }
+  sockaddr_in copy{};
+  std::memcpy(&copy, address, sizeof(copy));
+  char text[INET_ADDRSTRLEN] = {};
+  inet_ntop(AF_INET, &copy.sin_addr, text, sizeof(text));
+  return std::string(text) + ":" + std::to_string(ntohs(copy.sin_port));
+}
+
+/// Part of a streamed body that did not fit the library's buffer yet.
+struct StreamState {
+  BodyStream stream;
+  std::string pending;
+};
+
+ssize_t ReadStream(void* user, std::uint64_t, char* out, std::size_t maximum) {
+  auto* state = static_cast<StreamState*>(user);
+  while (state->pending.empty()) {
+    auto part = state->stream.next();
+    if (!part) {
+      return U_STREAM_END;
+    }
+    state->pending = std::move(*part);
+  }
+  const std::size_t size = std::min(maximum, state->pending.size());
+  std::memcpy(out, state->pending.data(), size);
+  state->pending.erase(0, size);
+  return static_cast<ssize_t>(size);
+}
+
+void FreeStream(void* user) {
+  auto* state = static_cast<StreamState*>(user);
+  if (state->stream.finish) {
+    state->stream.finish();
+  }
+  delete state;
+}
+
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char character) {
+                   return static_cast<char>(std::tolower(character));
+                 });
+  return text;
+}
+
+std::map<std::string, std::string> CopyMap(const _u_map* map, bool lower) {
+  std::map<std::string, std::string> copy;
+  const char** keys = u_map_enum_keys(map);
+  for (int i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
+    const char* value = u_map_get(map, keys[i]);
+    copy[lower ? ToLower(keys[i]) : std::string(keys[i])] =
+        value == nullptr ? "" : value;
+  }
+  return copy;
+}
+
+struct Route {
+  HttpHandler handler;
+  HttpServerOptions options;
+  std::shared_ptr<SocketTable> sockets;
+};
+
+HttpResponse CallHandler(const Route& route, const _u_request* request) {
+  // The library stops reading at the limit plus one byte.
+  if (request->binary_body_length > route.options.maximum_body_bytes) {
+    return {.status = 413,
+            .headers = {{"Content-Type", "application/json"}},
+            .body =
+                "{\"error\":{\"code\":\"body_too_large\",\"message\":"
+                "\"the body exceeds the limit\"},"
+                "\"verdict\":\"not_run\"}\n",
+            .stream = std::nullopt};
+  }
+  HttpRequest copy{
+      .method = request->http_verb,
+      .path = request->url_path == nullptr ? "" : request->url_path,
+      .parameters = CopyMap(request->map_url, false),
+      .headers = CopyMap(request->map_header, true),
+      .body = {},
+      .has_caller_left = [sockets = route.sockets,
+                          peer = DescribeAddress(request->client_address)] {
+        return sockets->HasLeft(peer);
+      }};
+  if (request->binary_body_length > 0) {
+    copy.body.assign(static_cast<const char*>(request->binary_body),
+                     request->binary_body_length);
+  }
+  return route.handler(copy);
+}
+
+int OnRequest(const _u_request* request, _u_response* response, void* user) {
+  const auto* route = static_cast<const Route*>(user);
+  HttpResponse answer = CallHandler(*route, request);
+  for (const auto& [name, value] : answer.headers) {
+    u_map_put(response->map_header, name.c_str(), value.c_str());
+  }
+  if (!answer.stream) {
+    ulfius_set_binary_body_response(response, answer.status, answer.body.data(),
+                                    answer.body.size());
+    return U_CALLBACK_COMPLETE;
+  }
+  auto* stream = new StreamState{.stream = *answer.stream, .pending = {}};
+  ulfius_set_stream_response(response, answer.status, ReadStream, FreeStream,
+                             U_STREAM_SIZE_UNKNOWN, kStreamBlockBytes, stream);
+  return U_CALLBACK_COMPLETE;
+}
+
+void OnConnection(void* user,
+                  MHD_Connection* connection,
+                  void** context,
+                  MHD_ConnectionNotificationCode code) {
+  auto* sockets = static_cast<SocketTable*>(user);
+  if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+    const auto* address =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const auto* descriptor =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (address == nullptr || descriptor == nullptr) {
+      return;
+    }
+    auto* peer = new std::string(DescribeAddress(address->client_addr));
+    sockets->Add(*peer, descriptor->connect_fd);
+    *context = peer;
+  } else if (*context != nullptr) {
+    auto* peer = static_cast<std::string*>(*context);
+    sockets->Remove(*peer);
+    delete peer;
+    *context = nullptr;
+  }
+}
+
+Result<int> OpenListeningSocket(const HttpServerOptions& options) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(options.port);
+  if (inet_pton(AF_INET, options.address.c_str(), &address.sin_addr) != 1) {
+    return Failure(ErrorCode::kInvalidArgument,
+                   "\"" + options.address + "\" is not an IPv4 address");
+  }
+  const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int enabled = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+  if (descriptor < 0 ||
+      bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+           sizeof(address)) != 0 ||
+      listen(descriptor, SOMAXCONN) != 0) {
+    const std::string reason = std::strerror(errno);
+    if (descriptor >= 0) {
+      close(descriptor);
+    }
+    return Failure(
+        ErrorCode::kUnavailable,
+        options.address + ":" + std::to_string(options.port) + ": " + reason);
+  }
+  return descriptor;
+}
+
+}  // namespace
+
+struct HttpServer::State {
+  HttpServerOptions options;
+  std::shared_ptr<SocketTable> sockets = std::make_shared<SocketTable>();
+  std::vector<std::unique_ptr<Route>> routes;
+  sockaddr_in bind_address{};
+  _u_instance instance{};
+  std::uint16_t port = 0;
+  bool is_running = false;
+};
+
+HttpServer::HttpServer(HttpServerOptions options)
+    : state(std::make_unique<State>()) {
+  this->state->options = std::move(options);
+  this->state->bind_address.sin_family = AF_INET;
+  inet_pton(AF_INET, this->state->options.address.c_str(),
+            &this->state->bind_address.sin_addr);
+  // The library needs a port number although it is given an open socket.
+  constexpr unsigned kPlaceholderPort = 1;
+  const int status =
+      ulfius_init_instance(&this->state->instance, kPlaceholderPort,
+                           &this->state->bind_address, nullptr);
+  VERIFY(status == U_OK);
+  this->state->instance.max_post_body_size =
+      this->state->options.maximum_body_bytes + 1;
+  this->state->instance.allowed_post_processor = U_POST_PROCESS_NONE;
+}
+
+HttpServer::~HttpServer() {
+  this->Stop();
+  ulfius_clean_instance(&this->state->instance);
+}
+
+void HttpServer::AddRoute(const std::string& method,
+                          const std::string& pattern,
+                          HttpHandler handler) {
+  this->state->routes.push_back(
+      std::make_unique<Route>(Route{.handler = std::move(handler),
+                                    .options = this->state->options,
+                                    .sockets = this->state->sockets}));
+  ulfius_add_endpoint_by_val(&this->state->instance, method.c_str(), nullptr,
+                             pattern.c_str(), 0, OnRequest,
+                             this->state->routes.back().get());
+}
+
+Result<void> HttpServer::Start() {
+  TRY_ASSIGN(const int descriptor, OpenListeningSocket(this->state->options));
+  sockaddr_in bound{};
+  socklen_t length = sizeof(bound);
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &length);
+  this->state->port = ntohs(bound.sin_port);
+  const auto& options = this->state->options;
+  MHD_OptionItem items[] = {
+      {MHD_OPTION_NOTIFY_COMPLETED,
+       reinterpret_cast<intptr_t>(mhd_request_completed), nullptr},
+      {MHD_OPTION_URI_LOG_CALLBACK,
+       reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
+      {MHD_OPTION_LISTEN_SOCKET, descriptor, nullptr},
+      {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(OnConnection),
+       this->state->sockets.get()},
+      {MHD_OPTION_THREAD_STACK_SIZE,
+       static_cast<intptr_t>(options.thread_stack_bytes), nullptr},
+      {MHD_OPTION_CONNECTION_LIMIT, options.connection_limit, nullptr},
+      {MHD_OPTION_CONNECTION_TIMEOUT, options.idle_timeout_seconds, nullptr},
+      {MHD_OPTION_END, 0, nullptr}};
+  const unsigned flags =
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD;
+  if (ulfius_start_framework_with_mhd_options(&this->state->instance, flags,
+                                              items) != U_OK) {
+    close(descriptor);
+    return Failure(ErrorCode::kUnavailable, "the HTTP server did not start");
+  }
+  this->state->is_running = true;
+  return {};
+}
+
+void HttpServer::Stop() {
+  if (!std::exchange(this->state->is_running, false)) {
+    return;
+  }
+  ulfius_stop_framework(&this->state->instance);
+}
+
+std::uint16_t HttpServer::port() const {
+  return this->state->port;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibNetwork/connection.cc
@@ -0,0 +1,145 @@
+#include "LibNetwork/connection.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+std::atomic<std::uint64_t> next_connection_id{1};
+
+std::string DescribePeer(const boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code error;
+  const auto endpoint = socket.remote_endpoint(error);
+  if (error) {
+    return "unknown";
+  }
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
+}  // namespace
+
+Connection::Connection(boost::asio::ip::tcp::socket socket,
+                       ConnectionHandlers handlers)
+    : socket(std::move(socket)),
+      handlers(std::move(handlers)),
+      peer_address(DescribePeer(this->socket)),
+      connection_id(next_connection_id++) {}
+
+void Connection::Start() {
+  boost::system::error_code ignored;
+  // Token chunks are small; waiting to merge them would add latency.
+  this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  this->socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  if (this->handlers.on_open) {
+    this->handlers.on_open(this->shared_from_this());
+  }
+  this->ReadHeader();
+}
+
+void Connection::Send(const Frame& frame) {
+  boost::asio::post(
+      this->socket.get_executor(),
+      [self = this->shared_from_this(), bytes = EncodeFrame(frame)]() mutable {
+        if (self->closed) {
+          return;
+        }
+        self->queued_bytes += bytes.size();
+        if (self->queued_bytes > kMaximumQueuedBytes) {
+          self->CloseNow("peer reads too slowly");
+          return;
+        }
+        self->outgoing.push_back(std::move(bytes));
+        if (self->outgoing.size() == 1) {
+          self->Write();
+        }
+      });
+}
+
+void Connection::Close(const std::string& reason) {
+  boost::asio::post(
+      this->socket.get_executor(),
+      [self = this->shared_from_this(), reason] { self->CloseNow(reason); });
+}
+
+void Connection::ReadHeader() {
+  boost::asio::async_read(
+      this->socket, boost::asio::buffer(this->header_bytes),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t) {
+        if (error) {
+          self->CloseNow(error.message());
+          return;
+        }
+        const auto header = DecodeFrameHeader(
+            {self->header_bytes.data(), self->header_bytes.size()});
+        if (!header) {
+          LogEvent(Event::kFrameRejected, {{"peer", self->peer_address},
+                                           {"reason", header.error().message}});
+          self->CloseNow(header.error().message);
+          return;
+        }
+        self->ReadBody(*header);
+      });
+}
+
+void Connection::ReadBody(const FrameHeader& header) {
+  this->incoming.type = header.type;
+  this->incoming.correlation = header.correlation;
+  this->incoming.body.resize(header.body_bytes);
+  boost::asio::async_read(
+      this->socket, boost::asio::buffer(this->incoming.body),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t) {
+        if (error) {
+          self->CloseNow(error.message());
+          return;
+        }
+        if (self->handlers.on_frame) {
+          self->handlers.on_frame(self, std::exchange(self->incoming, {}));
+        }
+        if (!self->closed) {
+          self->ReadHeader();
+        }
+      });
+}
+
+void Connection::Write() {
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->outgoing.front()),
+      [self = this->shared_from_this()](boost::system::error_code error,
+                                        std::size_t) {
+        if (error) {
+          self->CloseNow(error.message());
+          return;
+        }
+        if (self->closed) {
+          return;
+        }
+        self->queued_bytes -= self->outgoing.front().size();
+        self->outgoing.pop_front();
+        if (!self->outgoing.empty()) {
+          self->Write();
+        }
+      });
+}
+
+void Connection::CloseNow(const std::string& reason) {
+  if (this->closed.exchange(true)) {
+    return;
+  }
+  boost::system::error_code ignored;
+  this->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  this->socket.close(ignored);
+  if (this->handlers.on_closed) {
+    this->handlers.on_closed(this->shared_from_this(), reason);
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibNetwork/connection.h
@@ -0,0 +1,68 @@
+#ifndef LIBNETWORK_CONNECTION_H_
+#define LIBNETWORK_CONNECTION_H_
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "LibMessages/frame.h"
+
+namespace crocus {
+
+class Connection;
+
+/// Callbacks of a connection; they run on the IoThread.
+struct ConnectionHandlers {
+  std::function<void(const std::shared_ptr<Connection>&)> on_open;
+  std::function<void(const std::shared_ptr<Connection>&, Frame)> on_frame;
+  std::function<void(const std::shared_ptr<Connection>&, const std::string&)>
+      on_closed;
+};
+
+/// TCP connection that carries frames. Send and Close are thread-safe.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(boost::asio::ip::tcp::socket socket, ConnectionHandlers handlers);
+
+  /// Starts reading. Called once, on the IoThread.
+  void Start();
+
+  /// Queues a frame. Frames of one thread keep their order. A peer that reads
+  /// too slowly (more than kMaximumQueuedBytes waiting) is disconnected.
+  void Send(const Frame& frame);
+
+  void Close(const std::string& reason);
+
+  const std::string& peer() const { return this->peer_address; }
+  std::uint64_t id() const { return this->connection_id; }
+  bool is_closed() const { return this->closed; }
+
+ private:
+  static constexpr std::size_t kMaximumQueuedBytes = 64u << 20;
+
+  void ReadHeader();
+  void ReadBody(const FrameHeader& header);
+  void Write();
+  void CloseNow(const std::string& reason);
+
+  boost::asio::ip::tcp::socket socket;
+  ConnectionHandlers handlers;
+  std::string peer_address;
+  std::uint64_t connection_id;
+  std::array<char, kFrameHeaderBytes> header_bytes{};
+  Frame incoming;
+  std::deque<std::string> outgoing;
+  std::size_t queued_bytes = 0;
+  std::atomic<bool> closed = false;
+};
+
+}  // namespace crocus
+
+#endif  // LIBNETWORK_CONNECTION_H_
--- /dev/null
+++ b/Libraries/LibPlatform/http_log_client.cc
@@ -0,0 +1,86 @@
+#include "LibPlatform/http_log_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include "LibHttp/http_client.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr int kCreated = 201;
+constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+Result<LogPage> ParsePage(const std::string& body) {
+  const auto json = nlohmann::json::from_msgpack(body, true, false);
+  if (!json.is_object() || !json.contains("first") || !json.contains("next") ||
+      !json.contains("records") || !json["records"].is_array()) {
+    return Failure(ErrorCode::kCorrupt, "log page is malformed");
+  }
+  LogPage page{.first = json["first"].get<std::uint64_t>(),
+               .next = json["next"].get<std::uint64_t>(),
+               .records = {}};
+  for (const auto& record : json["records"]) {
+    if (!record.is_object() ||
+        !record.value("data", nlohmann::json()).is_binary()) {
+      return Failure(ErrorCode::kCorrupt, "log record is malformed");
+    }
+    const auto& data = record["data"].get_binary();
+    page.records.push_back({.offset = record["offset"].get<std::uint64_t>(),
+                            .data = std::string(data.begin(), data.end())});
+  }
+  return page;
+}
+
+}  // namespace
+
+Result<std::uint64_t> HttpLogClient::Append(const std::string& stream,
+                                            const std::string& data) {
+  TRY_ASSIGN(
+      const HttpReply reply,
+      SendHttp({.method = "POST",
+                .url = this->base_url + "/streams/" + stream + "/records",
+                .headers = {{"Content-Type", "application/octet-stream"}},
+                .body = data,
+                .timeout = this->timeout}));
+  if (reply.status == kTooManyRequests) {
+    return Failure(ErrorCode::kRateLimited, "log: append rate exceeded");
+  }
+  if (reply.status == kServiceUnavailable) {
+    return Failure(ErrorCode::kUnavailable, "log: unavailable");
+  }
+  if (reply.status != kCreated) {
+    return Failure(ErrorCode::kInternal,
+                   "log: append answered " + std::to_string(reply.status),
+                   Verdict::kMayHaveRun);
+  }
+  const auto json = nlohmann::json::parse(reply.body, nullptr, false);
+  if (!json.is_object() || !json.contains("offset") ||
+      !json["offset"].is_number_unsigned()) {
+    return Failure(ErrorCode::kCorrupt, "log: append reply is malformed",
+                   Verdict::kRan);
+  }
+  return json["offset"].get<std::uint64_t>();
+}
+
+Result<LogPage> HttpLogClient::Read(const std::string& stream,
+                                    std::uint64_t from,
+                                    std::uint32_t limit) {
+  TRY_ASSIGN(const HttpReply reply,
+             SendHttp({.method = "GET",
+                       .url = this->base_url + "/streams/" + stream +
+                              "/records?from=" + std::to_string(from) +
+                              "&limit=" + std::to_string(limit),
+                       .headers = {},
+                       .body = {},
+                       .timeout = this->timeout}));
+  if (reply.status != kOk) {
+    return Failure(ErrorCode::kUnavailable,
+                   "log: read answered " + std::to_string(reply.status));
+  }
+  return ParsePage(reply.body);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibMessages/frame_test.cc
@@ -0,0 +1,57 @@
+#include "LibMessages/frame.h"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace crocus {
+
+TEST_GROUP(Frame_Decoding){};
+
+// Guards against a message that loses or reorders a field on the wire.
+TEST(Frame_Decoding, EncodedMessageDecodesToTheSameValue) {
+  const messages::Execute execute{.attempt = "a-1",
+                                  .request = "r-1",
+                                  .workspace = "ranch",
+                                  .kind = messages::WorkKind::kBatch,
+                                  .prompt = std::string(3000, 'x'),
+                                  .max_tokens = 17,
+                                  .repeatable = true,
+                                  .epoch = 9};
+  const auto decoded = Decode<messages::Execute>(Encode(execute));
+  CHECK(decoded.has_value());
+  CHECK(*decoded == execute);
+}
+
+// Guards against reading past the end of a truncated archive.
+TEST(Frame_Decoding, EveryTruncationIsAnError) {
+  const std::string bytes = Encode(messages::LoadReport{
+      .replicas = {{.endpoint = "proof-models", .models = {"m1", "m2"}}}});
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(Decode<messages::LoadReport>(bytes.substr(0, size)));
+  }
+}
+
+// Guards against a huge container size that allocates memory before the
+// bytes are known to be there.
+TEST(Frame_Decoding, ArbitraryBytesNeverThrowOrExhaustMemory) {
+  CHECK(rc::check([](const std::string& bytes) {
+    const auto decoded = Decode<messages::OfferResults>(bytes);
+    RC_ASSERT(!decoded || decoded->results.size() <= bytes.size());
+  }));
+}
+
+TEST(Frame_Decoding, HeaderWithOversizedBodyIsAnError) {
+  std::string header(kFrameHeaderBytes, '\xff');
+  CHECK_FALSE(DecodeFrameHeader(header));
+}
+
+// Guards against a newer peer that appended a field to a top-level message.
+TEST(Frame_Decoding, TrailingBytesOfANewerVersionAreIgnored) {
+  const messages::RulesQuery query{.known_version = 4};
+  const auto decoded = Decode<messages::RulesQuery>(Encode(query) + "new");
+  CHECK(decoded.has_value());
+  CHECK(*decoded == query);
+}
+
+}  // namespace crocus
