--- a/Libraries/LibMessages/frame.cc
+++ b/Libraries/LibMessages/frame.cc
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// Highest message type of this protocol version.
-constexpr std::uint16_t kLastMessageType =
-    static_cast<std::uint16_t>(messages::MessageType::kDrain);
-
 template <typename Integer>
 void AppendInteger(std::string& bytes, Integer value) {
   bytes.append(reinterpret_cast<const char*>(&value), sizeof(value));
@@ -47,7 +43,7 @@
         ErrorCode::kCorrupt,
         "frame of " + std::to_string(body_bytes) + " bytes exceeds the limit");
   }
-  if (type == 0 || type > kLastMessageType) {
+  if (!messages::IsKnown(static_cast<messages::MessageType>(type))) {
     return Failure(ErrorCode::kCorrupt,
                    "frame type " + std::to_string(type) + " is unknown");
   }
--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -40,6 +40,32 @@
   kDrain = 18,
 };
 
+/// True if this version defines the type.
+inline bool IsKnown(MessageType type) {
+  switch (type) {
+    case MessageType::kHello:
+    case MessageType::kExecute:
+    case MessageType::kTokenChunk:
+    case MessageType::kAttemptDone:
+    case MessageType::kRevoke:
+    case MessageType::kRevokeReply:
+    case MessageType::kLoadReport:
+    case MessageType::kRulesPush:
+    case MessageType::kRulesQuery:
+    case MessageType::kConfirmResults:
+    case MessageType::kOfferResults:
+    case MessageType::kLeavingNotice:
+    case MessageType::kEngineOrder:
+    case MessageType::kEngineOrderReply:
+    case MessageType::kHeartbeat:
+    case MessageType::kPartitionQuery:
+    case MessageType::kPartitionReply:
+    case MessageType::kDrain:
+      return true;
+  }
+  return false;
+}
+
 /// What a piece of work is for.
 enum class WorkKind : std::uint8_t {
   kOnline = 0,
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -35,6 +35,27 @@
   kSnapshot = 13,
 };
 
+/// True if this version defines the type.
+inline bool IsKnown(RecordType type) {
+  switch (type) {
+    case RecordType::kAppend:
+    case RecordType::kRulesPublished:
+    case RecordType::kClaim:
+    case RecordType::kRelease:
+    case RecordType::kJobBegin:
+    case RecordType::kJobItems:
+    case RecordType::kJobCommit:
+    case RecordType::kItemResults:
+    case RecordType::kItemFailures:
+    case RecordType::kJobCancel:
+    case RecordType::kRequestIntent:
+    case RecordType::kRequestResult:
+    case RecordType::kSnapshot:
+      return true;
+  }
+  return false;
+}
+
 /// One record inside an append.
 struct Envelope {
   std::uint16_t type{0};
