Parse the operators' rule file

Cause: RuleSet existed as values only; nothing read the text that operators write.

The edit distance and Trim move from LibSettings to LibCore/text.h and are shared.

--- /dev/null
+++ b/Libraries/LibRules/rule_value.cc
@@ -0,0 +1,145 @@
+#include "LibRules/rule_value.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+#include <cmath>
+#include <string_view>
+
+#include "LibCore/text.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr double kSmallestWeight = 0.01;
+constexpr double kLargestWeight = 1000;
+constexpr double kLargestRate = 1e9;
+constexpr std::uint32_t kLargestCount = 1000000;
+
+tl::unexpected<Error> Expected(const std::string& what) {
+  return Failure(ErrorCode::kInvalidArgument, "must be " + what);
+}
+
+/// Reads a finite number in front of `unit`, which must end the text.
+bool ReadNumber(std::string_view text, std::string_view unit, double& value) {
+  if (!text.ends_with(unit)) {
+    return false;
+  }
+  text.remove_suffix(unit.size());
+  const auto [end, error] = std::from_chars(
+      text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+  return error == std::errc() && end == text.data() + text.size() &&
+         std::isfinite(value);
+}
+
+std::string Describe(std::chrono::milliseconds duration) {
+  using std::chrono::hours;
+  using std::chrono::seconds;
+  if (duration >= hours(1) && duration % hours(1) == seconds(0)) {
+    return std::to_string(duration / hours(1)) + "h";
+  }
+  if (duration >= seconds(1) && duration % seconds(1) == seconds(0)) {
+    return std::to_string(duration / seconds(1)) + "s";
+  }
+  return std::to_string(duration.count()) + "ms";
+}
+
+}  // namespace
+
+Result<void> ReadPercentage(const std::string& text, double& value) {
+  constexpr double kWhole = 100;
+  double number = 0;
+  if (!ReadNumber(text, "%", number) || number < 0 || number > kWhole) {
+    return Expected("a percentage from 0% to 100%, such as 20%");
+  }
+  value = number / kWhole;
+  return {};
+}
+
+Result<void> ReadWeight(const std::string& text, double& value) {
+  double number = 0;
+  if (!ReadNumber(text, "", number) || number < kSmallestWeight ||
+      number > kLargestWeight) {
+    return Expected("a weight from 0.01 to 1000 without a unit, such as 2.5");
+  }
+  value = number;
+  return {};
+}
+
+Result<void> ReadRate(const std::string& text, double& value) {
+  double number = 0;
+  if (!ReadNumber(text, "/s", number) || number < 0 || number > kLargestRate) {
+    return Expected("a rate from 0/s to 1000000000/s, such as 100/s");
+  }
+  value = number;
+  return {};
+}
+
+Result<void> ReadCount(const std::string& text, std::uint32_t& value) {
+  std::uint32_t number = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, number);
+  if (error != std::errc() || end != last || number > kLargestCount) {
+    return Expected("a whole number from 0 to 1000000 without a unit");
+  }
+  value = number;
+  return {};
+}
+
+Result<void> ReadDuration(const std::string& text,
+                          std::chrono::milliseconds minimum,
+                          std::chrono::milliseconds maximum,
+                          std::chrono::milliseconds& value) {
+  struct Unit {
+    std::string_view name;
+    double milliseconds;
+  };
+  // "ms" comes before "s", which is its suffix.
+  constexpr Unit kUnits[] = {
+      {"ms", 1}, {"min", 60000}, {"s", 1000}, {"h", 3600000}};
+  for (const auto& unit : kUnits) {
+    double number = 0;
+    if (!ReadNumber(text, unit.name, number)) {
+      continue;
+    }
+    const double milliseconds = number * unit.milliseconds;
+    if (milliseconds < static_cast<double>(minimum.count()) ||
+        milliseconds > static_cast<double>(maximum.count())) {
+      break;
+    }
+    value = std::chrono::milliseconds(std::llround(milliseconds));
+    return {};
+  }
+  return Expected("a duration with the unit ms, s, min or h from " +
+                  Describe(minimum) + " to " + Describe(maximum));
+}
+
+Result<void> ReadFlag(const std::string& text, bool& value) {
+  if (text != "yes" && text != "no") {
+    return Expected("yes or no");
+  }
+  value = text == "yes";
+  return {};
+}
+
+Result<void> ReadNames(const std::string& text,
+                       std::vector<std::string>& value) {
+  const auto names = Split(text, ',');
+  if (!std::all_of(names.begin(), names.end(), IsName)) {
+    return Expected("names separated by commas without spaces");
+  }
+  value = names;
+  return {};
+}
+
+bool IsName(const std::string& text) {
+  constexpr std::string_view kPunctuation = "._-:/";
+  return !text.empty() &&
+         std::all_of(text.begin(), text.end(), [&](char character) {
+           return std::isalnum(static_cast<unsigned char>(character)) != 0 ||
+                  kPunctuation.find(character) != std::string_view::npos;
+         });
+}
+
+}  // namespace crocus
--- a/Libraries/LibSettings/setting_reader.cc
+++ b/Libraries/LibSettings/setting_reader.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
-#include <numeric>
 #include <sstream>
 #include <string_view>
 
+#include "LibCore/text.h"
+
 namespace crocus {
 
 namespace {
@@ -14,31 +15,6 @@
 /// Largest edit distance at which another key is suggested.
 constexpr std::size_t kSuggestionDistance = 4;
 
-std::size_t EditDistance(std::string_view left, std::string_view right) {
-  std::vector<std::size_t> row(right.size() + 1);
-  std::iota(row.begin(), row.end(), 0);
-  for (std::size_t i = 1; i <= left.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i;
-    for (std::size_t j = 1; j <= right.size(); ++j) {
-      const std::size_t substitution =
-          diagonal + (left[i - 1] == right[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, substitution});
-    }
-  }
-  return row[right.size()];
-}
-
-std::string Trim(std::string_view text) {
-  const auto first = text.find_first_not_of(" \t");
-  if (first == std::string_view::npos) {
-    return "";
-  }
-  const auto last = text.find_last_not_of(" \t");
-  return std::string(text.substr(first, last - first + 1));
-}
-
 template <typename Number>
 bool ParseNumber(std::string_view text, Number& value) {
   const auto [end, error] =
