--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -33,6 +33,7 @@
   kRequestIntent = 11,
   kRequestResult = 12,
   kSnapshot = 13,
+  kRulesCarried = 50,
 };
 
 /// True if this version defines the type.
@@ -51,6 +52,7 @@
     case RecordType::kRequestIntent:
     case RecordType::kRequestResult:
     case RecordType::kSnapshot:
+    case RecordType::kRulesCarried:
       return true;
   }
   return false;
@@ -328,6 +330,26 @@
   }
 };
 
+/// Rules in force after an offset, for readers that find the head trimmed.
+struct RulesCarried {
+  static constexpr RecordType kType = RecordType::kRulesCarried;
+
+  /// Last offset that the writer had replayed.
+  std::uint64_t through_offset{0};
+  std::uint64_t rules_version{0};
+  std::string text{};
+  std::string author{};
+  /// Ids of appends whose duplicates stay invalid.
+  std::vector<std::string> refused_ids{};
+
+  bool operator==(const RulesCarried&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(through_offset, rules_version, text, author, refused_ids);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibRules/rule_line.cc
+++ b/Libraries/LibRules/rule_line.cc
@@ -89,14 +89,24 @@
 
 }  // namespace
 
+std::string RuleLine::Workspace() const {
+  const auto found = this->values.find("workspace");
+  return found == this->values.end() ? "*" : found->second;
+}
+
 std::string RuleLine::Identity() const {
-  std::string identity = this->kind + " " + this->name;
-  if (this->kind == "class") {
-    const auto workspace = this->values.find("workspace");
-    identity += " workspace=" +
-                (workspace == this->values.end() ? "*" : workspace->second);
+  const std::string identity = this->kind + " " + this->name;
+  return this->kind == "class" ? identity + " workspace=" + this->Workspace()
+                               : identity;
+}
+
+std::pair<std::string, std::string> SpillRegions(const std::string& name) {
+  constexpr std::string_view kArrow = "->";
+  const auto arrow = name.find(kArrow);
+  if (arrow == std::string::npos) {
+    return {name, ""};
   }
-  return identity;
+  return {name.substr(0, arrow), name.substr(arrow + kArrow.size())};
 }
 
 RuleLines SplitRuleLines(const std::string& text) {
--- a/Libraries/LibRules/rule_line.h
+++ b/Libraries/LibRules/rule_line.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace crocus {
@@ -19,6 +20,9 @@
 
   bool operator==(const RuleLine&) const = default;
 
+  /// Workspace of a class; "*" if the rule names none.
+  std::string Workspace() const;
+
   /// What makes two lines the same rule: kind, name and, for a class, the
   /// workspace.
   std::string Identity() const;
@@ -39,6 +43,10 @@
   bool operator==(const RuleLines&) const = default;
 };
 
+/// Splits the name of a spill, such as "waco-a->denton-a", into its regions;
+/// the second is empty if there is no arrow.
+std::pair<std::string, std::string> SpillRegions(const std::string& name);
+
 /// Splits a rule file into rules.
 RuleLines SplitRuleLines(const std::string& text);
 
--- a/Libraries/LibRules/rule_parser.cc
+++ b/Libraries/LibRules/rule_parser.cc
@@ -160,7 +160,7 @@
       rules.workspaces[line.name] = this->Read(line, WorkspaceKeys());
     } else if (line.kind == "class") {
       this->CheckName(line);
-      rules.classes[{WorkspaceOf(line), line.name}] =
+      rules.classes[{line.Workspace(), line.name}] =
           this->Read(line, ClassKeys());
     } else if (line.kind == "spill") {
       this->AddSpill(line);
@@ -175,12 +175,7 @@
   }
 
   void AddSpill(const RuleLine& line) {
-    constexpr std::string_view kArrow = "->";
-    const auto arrow = line.name.find(kArrow);
-    const std::string from = line.name.substr(0, arrow);
-    const std::string to = arrow == std::string::npos
-                               ? ""
-                               : line.name.substr(arrow + kArrow.size());
+    const auto [from, to] = SpillRegions(line.name);
     if (!IsName(from) || !IsName(to) || from == to) {
       this->AddError(line, "\"" + line.name +
                                "\" must name two regions, as in "
@@ -234,11 +229,6 @@
     return rule;
   }
 
-  static std::string WorkspaceOf(const RuleLine& line) {
-    const auto found = line.values.find("workspace");
-    return found == line.values.end() ? "*" : found->second;
-  }
-
   void CheckName(const RuleLine& line) {
     if (!IsName(line.name)) {
       this->AddError(line, "\"" + line.name +
@@ -253,7 +243,7 @@
       workspaces.push_back(name);
     }
     for (const auto& line : this->parsed.lines) {
-      const std::string workspace = WorkspaceOf(line);
+      const std::string workspace = line.Workspace();
       if (line.kind == "class" && workspace != "*" &&
           !this->parsed.rules.workspaces.contains(workspace)) {
         this->AddError(line, "workspace \"" + workspace + "\" is not declared" +
--- /dev/null
+++ b/Libraries/LibRules/rule_table.cc
@@ -0,0 +1,138 @@
+#include "LibRules/rule_table.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "LibCore/text_table.h"
+
+namespace crocus {
+
+namespace {
+
+using Values = std::vector<std::pair<std::string, std::string>>;
+
+std::string Number(double value) {
+  char buffer[64];
+  const auto result = std::to_chars(buffer, buffer + sizeof(buffer), value,
+                                    std::chars_format::fixed);
+  return {buffer, result.ptr};
+}
+
+std::string Percentage(double share) {
+  // Rounding hides that 12.5% is not stored exactly.
+  constexpr double kDigits = 1e8;
+  return Number(std::round(share * 100 * kDigits) / kDigits) + "%";
+}
+
+std::string Rate(double value) {
+  return Number(value) + "/s";
+}
+
+std::string Milliseconds(std::chrono::milliseconds value) {
+  return std::to_string(value.count()) + "ms";
+}
+
+std::string Names(const std::vector<std::string>& names) {
+  std::string text;
+  for (const auto& name : names) {
+    text += (text.empty() ? "" : ",") + name;
+  }
+  return text;
+}
+
+Values Describe(const EndpointRule& rule) {
+  Values values = {
+      {"kind", rule.kind == EndpointKind::kEngine ? "engine" : "service"},
+      {"reserve", std::to_string(rule.reserve_slots)},
+      {"long_share", Percentage(rule.long_share)},
+      {"ejected_share", Percentage(rule.ejected_share)},
+      {"first_token", Milliseconds(rule.first_token_target)},
+      {"token", Milliseconds(rule.token_target)},
+      {"leaving", rule.is_leaving ? "yes" : "no"}};
+  // An empty list has no notation in the rule file.
+  if (!rule.models.empty()) {
+    values.emplace_back("models", Names(rule.models));
+  }
+  return values;
+}
+
+Values Describe(const WorkspaceRule& rule) {
+  return {{"share", Number(rule.share)},
+          {"requests", Rate(rule.requests_per_second)},
+          {"tokens", Rate(rule.tokens_per_second)},
+          {"concurrent", std::to_string(rule.concurrent_requests)}};
+}
+
+Values Describe(const std::string& workspace, const ClassRule& rule) {
+  return {{"workspace", workspace},
+          {"patience", Milliseconds(rule.patience)},
+          {"due", Milliseconds(rule.due)},
+          {"share", Number(rule.share)}};
+}
+
+Values Describe(const SpillRule& rule) {
+  return {{"price", Milliseconds(rule.minimum_gain)},
+          {"max_share", Percentage(rule.maximum_share)}};
+}
+
+Values DescribeLine(const RuleLine& line, const RuleSet& rules) {
+  if (line.kind == "endpoint") {
+    return Describe(rules.endpoints.at(line.name));
+  }
+  if (line.kind == "workspace") {
+    return Describe(rules.workspaces.at(line.name));
+  }
+  if (line.kind == "class") {
+    const std::string workspace = line.Workspace();
+    return Describe(workspace, rules.classes.at({workspace, line.name}));
+  }
+  if (line.kind == "spill") {
+    return Describe(rules.spills.at(SpillRegions(line.name)));
+  }
+  return {
+      {"share", Percentage(line.name == "retry" ? rules.budgets.retry_share
+                                                : rules.budgets.hedge_share)}};
+}
+
+}  // namespace
+
+std::vector<RuleTableRow> MakeRuleTable(const ParsedRules& parsed) {
+  std::vector<RuleTableRow> rows;
+  for (const auto& line : parsed.lines) {
+    rows.push_back({.kind = line.kind,
+                    .name = line.name,
+                    .values = DescribeLine(line, parsed.rules),
+                    .requester = line.requester,
+                    .reason = line.reason});
+  }
+  for (const char* name : {"retry", "hedge"}) {
+    const RuleLine budget{.kind = "budget", .name = name};
+    const bool is_set = std::any_of(
+        parsed.lines.begin(), parsed.lines.end(), [&](const RuleLine& line) {
+          return line.Identity() == budget.Identity();
+        });
+    if (!is_set) {
+      rows.push_back({.kind = budget.kind,
+                      .name = budget.name,
+                      .values = DescribeLine(budget, parsed.rules),
+                      .requester = {},
+                      .reason = "default; the file does not set it"});
+    }
+  }
+  return rows;
+}
+
+std::string FormatRuleTable(const std::vector<RuleTableRow>& rows) {
+  std::vector<TextRow> cells;
+  for (const auto& row : rows) {
+    std::string values;
+    for (const auto& [key, value] : row.values) {
+      values += (values.empty() ? "" : " ") + key + "=" + value;
+    }
+    cells.push_back({row.kind, row.name, values, row.requester, row.reason});
+  }
+  return FormatTable({"KIND", "NAME", "VALUES", "ASKED BY", "REASON"}, cells);
+}
+
+}  // namespace crocus
