--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -39,6 +39,8 @@
       return "log_unavailable";
     case Event::kRulesInForce:
       return "rules_in_force";
+    case Event::kStreamHeadLost:
+      return "stream_head_lost";
     case Event::kJobAccepted:
       return "job_accepted";
     case Event::kPartitionClaimed:
@@ -47,6 +49,14 @@
       return "partition_lost";
     case Event::kJobFinished:
       return "job_finished";
+    case Event::kPartitionReleased:
+      return "partition_released";
+    case Event::kItemGivenUp:
+      return "item_given_up";
+    case Event::kJobCancelled:
+      return "job_cancelled";
+    case Event::kSnapshotWritten:
+      return "snapshot_written";
   }
   return "unknown";
 }
@@ -68,15 +78,20 @@
     case Event::kJobAccepted:
     case Event::kPartitionClaimed:
     case Event::kJobFinished:
+    case Event::kPartitionReleased:
+    case Event::kJobCancelled:
+    case Event::kSnapshotWritten:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
     case Event::kAppendUnknown:
     case Event::kLogUnavailable:
     case Event::kPartitionLost:
+    case Event::kItemGivenUp:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
+    case Event::kStreamHeadLost:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -28,10 +28,15 @@
   kAppendUnknown = 400,
   kLogUnavailable = 401,
   kRulesInForce = 402,
+  kStreamHeadLost = 404,
   kJobAccepted = 500,
   kPartitionClaimed = 501,
   kPartitionLost = 502,
   kJobFinished = 503,
+  kPartitionReleased = 504,
+  kItemGivenUp = 505,
+  kJobCancelled = 506,
+  kSnapshotWritten = 507,
 };
 
 /// Returns the event's name in the catalogue, such as "entry_started".
--- a/Libraries/LibLedger/log_writer.h
+++ b/Libraries/LibLedger/log_writer.h
@@ -101,6 +101,12 @@
                    Verdict::kMayHaveRun);
   }
 
+  /// Removes an entry; its callback is not called then. False if the entry may
+  /// be in the log or is about to be.
+  bool Withdraw(std::uint64_t token) {
+    return this->Withdraw(std::vector{token});
+  }
+
   /// Sends what waits without further delay.
   void Flush() {
     {
--- a/Libraries/LibLedger/partition_ledger.h
+++ b/Libraries/LibLedger/partition_ledger.h
@@ -1,6 +1,7 @@
 #ifndef LIBLEDGER_PARTITION_LEDGER_H_
 #define LIBLEDGER_PARTITION_LEDGER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -8,53 +9,25 @@
 #include <string_view>
 #include <vector>
 
+#include "LibCore/result.h"
+#include "LibLedger/applied_appends.h"
+#include "LibLedger/job.h"
 #include "LibMessages/records.h"
 
 namespace crocus {
 
-enum class JobState { kReceiving, kAccepted, kCancelled, kFinished };
-
-/// Returns the state's name in the HTTP interface, such as "accepted".
-std::string_view ToString(JobState state);
-
-struct JobItem {
-  std::string prompt;
-  std::uint32_t max_tokens = 0;
-  std::uint32_t failures = 0;
-  bool is_finished = false;
-  bool has_succeeded = false;
-  std::string text;
-  std::string reason;
-  std::uint32_t token_count = 0;
-
-  bool operator==(const JobItem&) const = default;
-};
-
-struct Job {
-  std::string id;
-  std::string workspace;
-  std::string request_class;
-  std::string model;
-  std::int64_t due_ms = 0;
-  JobState state = JobState::kReceiving;
-  std::uint32_t item_count = 0;
-  std::uint32_t finished_count = 0;
-  std::uint32_t failed_count = 0;
-  std::map<std::uint32_t, JobItem> items;
-
-  bool operator==(const Job&) const = default;
-};
-
 /// State of a batch partition: the deterministic replay of its stream. Every
-/// process that applies the same records in offset order has the same state.
+/// process that applies the same records in offset order has the same state,
+/// also if it started from a snapshot.
 class PartitionLedger {
  public:
   /// Applies the append at `offset`; offsets must go up. Appends that do not
   /// decode, or whose id was applied before, change nothing.
   void Apply(std::uint64_t offset, std::string_view data);
 
-  /// Epoch of the current owner; 0 if nobody owns the partition.
+  /// Epoch of the newest claim; 0 if there was none.
   std::uint64_t epoch() const { return this->current_epoch; }
+  /// Empty if nobody owns the partition.
   const std::string& owner() const { return this->current_owner; }
   std::uint64_t owner_incarnation() const { return this->current_incarnation; }
   /// Offset after the last applied append.
@@ -62,23 +35,57 @@
   const std::map<std::string, Job>& jobs() const { return this->all_jobs; }
   const Job* FindJob(const std::string& id) const;
 
+  /// Jobs changed since the last call: accepted, closed, forgotten, or with a
+  /// newly counted failure.
+  std::set<std::string> TakeChangedJobs();
+
+  /// Newest offset that is older than `unix_ms` by the owners' clocks; 0 if
+  /// none is known.
+  std::uint64_t OffsetBefore(std::int64_t unix_ms) const;
+  /// Time of the first mark at or after `offset`, in ms since the Unix epoch: a
+  /// limit for the time of the record there. 0 if there is none.
+  std::int64_t LatestTimeOf(std::uint64_t offset) const;
+
+  /// The state in parts of at most `part_bytes`. Any process's snapshot is
+  /// valid, because the state through an offset is the same for all.
+  std::vector<records::Snapshot> MakeSnapshot(std::size_t part_bytes) const;
+  /// Restores the state; `parts` are all parts in order.
+  static Result<PartitionLedger> FromSnapshot(
+      const std::vector<records::Snapshot>& parts);
+
+  bool operator==(const PartitionLedger& other) const;
+
  private:
-  void ApplyRecord(std::uint64_t offset, const records::Envelope& envelope);
-  void OnClaim(std::uint64_t offset, const records::Claim& claim);
+  /// Place of a record: offset of its append and index in it.
+  struct Place {
+    std::uint64_t offset = 0;
+    std::uint32_t part = 0;
+  };
+
+  void ApplyRecord(Place place, const records::Envelope& envelope);
+  void OnClaim(Place place, const records::Claim& claim);
   void OnRelease(const records::Release& release);
   void OnJobBegin(const records::JobBegin& begin);
-  void OnJobItems(const records::JobItems& items);
-  void OnJobCommit(const records::JobCommit& commit);
-  void OnItemResults(const records::ItemResults& results);
+  void OnJobItems(Place place, const records::JobItems& items);
+  void OnJobCommit(Place place, const records::JobCommit& commit);
+  void OnItemResults(Place place, const records::ItemResults& results);
   void OnItemFailures(const records::ItemFailures& failures);
-  void OnJobCancel(const records::JobCancel& cancel);
+  void OnJobCancel(Place place, const records::JobCancel& cancel);
+  void OnCarriedItems(Place place, const records::CarriedItems& items);
+  void OnCarriedResults(Place place, const records::CarriedResults& results);
+  void OnJobForget(const records::JobForget& forget);
+  void OnTimeMark(Place place, const records::TimeMark& mark);
+  Job* FindOpenJob(const std::string& id);
 
   std::uint64_t next = 1;
   std::uint64_t current_epoch = 0;
   std::string current_owner;
   std::uint64_t current_incarnation = 0;
   std::map<std::string, Job> all_jobs;
-  std::set<std::string> applied_ids;
+  AppliedAppends applied;
+  /// Oldest first.
+  std::vector<records::OffsetTime> times;
+  std::set<std::string> changed_jobs;
 };
 
 /// Partition of a job; the same on every host.
--- /dev/null
+++ b/Libraries/LibLedger/partition_owner.h
@@ -0,0 +1,288 @@
+#ifndef LIBLEDGER_PARTITION_OWNER_H_
+#define LIBLEDGER_PARTITION_OWNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "LibCore/random.h"
+#include "LibCore/time.h"
+#include "LibLedger/partition_ledger.h"
+#include "LibMessages/messages.h"
+#include "LibMessages/records.h"
+
+namespace crocus {
+
+/// What an entry knows about another entry.
+struct PeerView {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  /// When its last heartbeat arrived.
+  TimePoint heard;
+
+  bool operator==(const PeerView&) const = default;
+};
+
+/// Replica that takes batch items.
+struct ReplicaRoom {
+  std::string daemon;
+  std::string endpoint;
+  std::string replica;
+  std::vector<std::string> models;
+  /// Items that may still be sent to it.
+  std::uint32_t room = 0;
+  /// Batch items that are sent to it or run there.
+  std::uint32_t occupied = 0;
+  /// An item runs alone there, or waits until the replica is empty.
+  bool is_reserved = false;
+  /// 0 in the own availability zone, 1 in the own region, 2 elsewhere.
+  std::uint32_t distance = 0;
+
+  bool operator==(const ReplicaRoom&) const = default;
+};
+
+/// What the order of dispatch may look at. Only jobs with an item to send are
+/// shown.
+struct JobView {
+  std::string id;
+  std::string workspace;
+  std::int64_t due_ms = 0;
+  std::uint32_t remaining = 0;
+  /// Items of the job's workspace that run now.
+  std::uint32_t workspace_running = 0;
+
+  bool operator==(const JobView&) const = default;
+};
+
+/// Chooses the job that sends the next item; the list is never empty.
+using JobOrder = std::function<std::size_t(const std::vector<JobView>&)>;
+
+/// The workspace with the fewest running items, and its earliest due job.
+std::size_t ChooseFairEarliestDue(const std::vector<JobView>& jobs);
+
+struct ItemKey {
+  std::string job;
+  std::uint32_t index = 0;
+
+  bool operator==(const ItemKey&) const = default;
+  bool operator<(const ItemKey& other) const {
+    return std::tie(this->job, this->index) < std::tie(other.job, other.index);
+  }
+};
+
+/// Request name of an item in messages: job, slash, index.
+std::string RequestOf(const ItemKey& item);
+std::optional<ItemKey> ParseItemRequest(const std::string& request);
+
+/// An attempt to send to a daemon.
+struct ItemDispatch {
+  std::string attempt;
+  ItemKey item;
+  /// Append that holds the item's body.
+  std::uint64_t body_offset = 0;
+  std::uint64_t epoch = 0;
+  std::string daemon;
+  std::string endpoint;
+  std::string replica;
+
+  bool operator==(const ItemDispatch&) const = default;
+};
+
+/// An attempt at a daemon.
+struct AttemptPlace {
+  std::string daemon;
+  std::string attempt;
+
+  bool operator==(const AttemptPlace&) const = default;
+};
+
+/// What follows from the last calls. Records are for the partition's stream.
+struct OwnerOutput {
+  records::ItemResults results;
+  records::ItemFailures failures;
+  /// Results that are in the log or can no longer count.
+  std::vector<AttemptPlace> confirm;
+  std::vector<AttemptPlace> revoke;
+  std::vector<ItemKey> given_up;
+};
+
+struct PartitionOwnerOptions {
+  std::uint32_t partition = 0;
+  std::string name;
+  std::uint64_t incarnation = 0;
+  /// Silence after which the owner is taken for dead.
+  Duration heartbeat_timeout = std::chrono::seconds(2);
+  /// Failed attempts after which an item runs alone once more; if that fails
+  /// too, it is finished with a failure.
+  std::uint32_t failure_limit = 3;
+  /// Bytes of results that wait for the log before dispatch stops.
+  std::size_t held_bytes = 16u << 20;
+  /// Longest time an item waits for an empty replica to run alone on; then it
+  /// goes to the one with the fewest items.
+  Duration alone_patience = std::chrono::seconds(30);
+  /// Pause before another item goes to a replica that refused one.
+  Duration refusal_pause = std::chrono::milliseconds(200);
+  /// Bytes of results in one TakeOutput.
+  std::size_t output_bytes = 256u << 10;
+};
+
+/// Decisions of one entry about one partition: when to claim it and, while it
+/// owns it, which items to run and what to write. No I/O; not thread-safe.
+///
+/// Ownership follows from replay alone. The entry owns the partition while the
+/// newest replayed claim is its own, and stops when it replays another one.
+class PartitionOwner {
+ public:
+  PartitionOwner(PartitionOwnerOptions options,
+                 JobOrder order,
+                 std::uint64_t seed,
+                 TimePoint now);
+
+  /// Returns a claim if the partition has no owner or its owner has been silent
+  /// for the timeout. `peers` are the entries heard so far. After a gap between
+  /// two calls of half the timeout, in which this process was paused, silence
+  /// counts from now: it says nothing about the others.
+  std::optional<records::Claim> ClaimIfDue(const PartitionLedger& ledger,
+                                           const std::vector<PeerView>& peers,
+                                           TimePoint now);
+  /// True if a pending claim must be withdrawn, because its reason is gone.
+  bool IsClaimObsolete(const PartitionLedger& ledger,
+                       const std::vector<PeerView>& peers,
+                       TimePoint now) const;
+  /// The claim was not written; the next one may be made at once.
+  void OnClaimWithdrawn() { this->claimed_epoch.reset(); }
+
+  /// Called after records were applied. `is_current` tells whether replay has
+  /// reached the end of the stream.
+  void OnReplay(PartitionLedger& ledger, bool is_current, TimePoint now);
+
+  bool is_owner() const { return this->own_epoch != 0; }
+  std::uint64_t owned_epoch() const { return this->own_epoch; }
+
+  /// Chooses items for `rooms`, which it reduces.
+  std::vector<ItemDispatch> Dispatch(const PartitionLedger& ledger,
+                                     std::vector<ReplicaRoom>& rooms,
+                                     TimePoint now);
+  /// Marks the replicas on which items run alone.
+  void Reserve(std::vector<ReplicaRoom>& rooms) const;
+
+  /// The attempt was not sent; the item waits again.
+  void OnNotSent(const std::string& attempt, TimePoint now);
+  /// The attempt ended without a result, or its daemon was lost.
+  void OnFailed(const std::string& attempt, Verdict verdict, TimePoint now);
+  /// A daemon holds a result. Also called while another entry is the owner: the
+  /// offer is kept, within a limit, for a takeover.
+  void OnOffer(const std::string& daemon, const messages::HeldResult& held);
+
+  OwnerOutput TakeOutput(const PartitionLedger& ledger);
+  /// The writer refused the output's records; they are put out again.
+  void OnWriteRefused(const OwnerOutput& refused);
+
+  /// Stops claiming and sending items. The partition may be released once
+  /// is_drained().
+  void Leave() { this->is_leaving = true; }
+  bool is_drained() const {
+    return this->running.empty() && this->offers.empty() &&
+           this->failing.empty();
+  }
+  std::size_t running_count() const { return this->running.size(); }
+
+ private:
+  struct RunningItem {
+    ItemKey item;
+    std::string daemon;
+    std::string replica;
+    std::string workspace;
+    bool is_alone = false;
+  };
+  struct Offer {
+    std::string daemon;
+    ItemKey item;
+    records::ItemResult result;
+    bool is_written = false;
+  };
+  struct Failing {
+    std::uint32_t failures_before = 0;
+    bool is_written = false;
+  };
+  /// Items of an open job that wait.
+  struct Work {
+    /// Items from here on were not looked at yet.
+    std::uint32_t cursor = 0;
+    std::deque<std::uint32_t> again;
+    std::deque<std::uint32_t> alone;
+    std::deque<std::uint32_t> hopeless;
+    /// How often an item is running, failing or offered; absent if not at all.
+    std::map<std::uint32_t, std::uint32_t> busy;
+    std::optional<TimePoint> alone_since;
+  };
+
+  TimePoint ClaimTime(const PartitionLedger& ledger,
+                      const std::vector<PeerView>& peers,
+                      TimePoint now) const;
+  void Start(const PartitionLedger& ledger);
+  void Stop();
+  void Queue(const Job& job, Work& work, std::uint32_t index);
+  void MarkBusy(const ItemKey& item);
+  void Free(const PartitionLedger& ledger, const ItemKey& item);
+  /// Index of the next item to send; nothing if there is none.
+  static std::optional<std::uint32_t> Peek(const Job& job,
+                                           Work& work,
+                                           std::uint32_t failure_limit);
+  ItemDispatch Send(const Job& job,
+                    std::uint32_t index,
+                    ReplicaRoom& room,
+                    bool is_alone);
+  void DispatchAlone(const Job& job,
+                     Work& work,
+                     std::vector<ReplicaRoom>& rooms,
+                     TimePoint now,
+                     std::vector<ItemDispatch>& sent);
+  void GiveUpHopeless(const Job& job, Work& work);
+  void CheckFailing(const PartitionLedger& ledger);
+  void CheckOffers(const PartitionLedger& ledger);
+  void CheckRunning(const PartitionLedger& ledger);
+  void DropOldOffers();
+  ReplicaRoom* FindRoom(const Job& job,
+                        std::vector<ReplicaRoom>& rooms,
+                        TimePoint now);
+
+  const PartitionOwnerOptions options;
+  const JobOrder order;
+  Random random;
+  const TimePoint started;
+
+  std::uint64_t own_epoch = 0;
+  bool is_leaving = false;
+  bool has_reached_end = false;
+
+  /// Owner and epoch that replay showed last, and since when.
+  std::uint64_t seen_epoch = 0;
+  std::string seen_owner;
+  TimePoint seen_since;
+  TimePoint last_check;
+  /// Silence does not count before this time.
+  TimePoint silence_from;
+  /// Random part of the claim delay, from 0 to 1.
+  double jitter = 0;
+  std::optional<std::uint64_t> claimed_epoch;
+
+  std::map<std::string, Work> works;
+  std::map<std::string, RunningItem> running;
+  std::map<ItemKey, Failing> failing;
+  std::map<std::string, Offer> offers;
+  std::size_t offer_bytes = 0;
+  std::map<std::string, TimePoint> paused_replicas;
+  OwnerOutput output;
+};
+
+}  // namespace crocus
+
+#endif  // LIBLEDGER_PARTITION_OWNER_H_
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -33,6 +33,10 @@
   kRequestIntent = 11,
   kRequestResult = 12,
   kSnapshot = 13,
+  kCarriedItems = 20,
+  kCarriedResults = 21,
+  kJobForget = 22,
+  kTimeMark = 23,
 };
 
 /// True if this version defines the type.
@@ -51,6 +55,10 @@
     case RecordType::kRequestIntent:
     case RecordType::kRequestResult:
     case RecordType::kSnapshot:
+    case RecordType::kCarriedItems:
+    case RecordType::kCarriedResults:
+    case RecordType::kJobForget:
+    case RecordType::kTimeMark:
       return true;
   }
   return false;
@@ -328,6 +336,177 @@
   }
 };
 
+/// Items of an open job, written again before the log trims them.
+struct CarriedItems {
+  static constexpr RecordType kType = RecordType::kCarriedItems;
+
+  std::uint64_t epoch{0};
+  std::string job{};
+  std::vector<ItemBody> items{};
+
+  bool operator==(const CarriedItems&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, job, items);
+  }
+};
+
+/// Results of a job, written again before the log trims them.
+struct CarriedResults {
+  static constexpr RecordType kType = RecordType::kCarriedResults;
+
+  std::uint64_t epoch{0};
+  std::string job{};
+  /// Position of the first of them in the order of finishing.
+  std::uint32_t first{0};
+  std::vector<ItemResult> results{};
+
+  bool operator==(const CarriedResults&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, job, first, results);
+  }
+};
+
+/// The retention of a closed job's results is over.
+struct JobForget {
+  static constexpr RecordType kType = RecordType::kJobForget;
+
+  std::uint64_t epoch{0};
+  std::string job{};
+
+  bool operator==(const JobForget&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, job);
+  }
+};
+
+/// Tells how old the records before it are.
+struct TimeMark {
+  static constexpr RecordType kType = RecordType::kTimeMark;
+
+  std::uint64_t epoch{0};
+  /// Wall clock of the owner in ms since the Unix epoch.
+  std::int64_t unix_ms{0};
+
+  bool operator==(const TimeMark&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, unix_ms);
+  }
+};
+
+/// Consecutive items whose bodies are in one append.
+struct ItemRun {
+  std::uint32_t first{0};
+  std::uint32_t count{0};
+  std::uint64_t offset{0};
+
+  bool operator==(const ItemRun&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(first, count, offset);
+  }
+};
+
+/// Results of one job in one record.
+struct ResultRun {
+  /// Position of the first of them in the order of finishing.
+  std::uint32_t first{0};
+  std::uint32_t count{0};
+  /// Offset of the append.
+  std::uint64_t offset{0};
+  /// Index of the record in the append.
+  std::uint32_t part{0};
+  /// Indices in the record of results that did not count.
+  std::vector<std::uint32_t> skipped{};
+
+  bool operator==(const ResultRun&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(first, count, offset, part, skipped);
+  }
+};
+
+/// A job in a snapshot.
+struct JobSummary {
+  std::string job{};
+  std::string workspace{};
+  std::string request_class{};
+  std::string model{};
+  std::int64_t due_ms{0};
+  std::uint8_t state{0};
+  std::uint32_t item_count{0};
+  std::uint32_t received_count{0};
+  std::uint32_t finished_count{0};
+  std::uint32_t failed_count{0};
+  std::uint64_t closed_offset{0};
+  std::string items{};
+  std::vector<ItemRun> item_runs{};
+  std::vector<ResultRun> result_runs{};
+
+  bool operator==(const JobSummary&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, workspace, request_class, model, due_ms, state, item_count,
+            received_count, finished_count, failed_count, closed_offset, items,
+            item_runs, result_runs);
+  }
+};
+
+/// Newest append of one writer.
+struct WriterMark {
+  /// XXH3 of the writer's unique name.
+  std::uint64_t writer{0};
+  std::uint64_t sequence{0};
+  std::uint64_t offset{0};
+
+  bool operator==(const WriterMark&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(writer, sequence, offset);
+  }
+};
+
+/// Time of an offset.
+struct OffsetTime {
+  std::uint64_t offset{0};
+  std::int64_t unix_ms{0};
+
+  bool operator==(const OffsetTime&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(offset, unix_ms);
+  }
+};
+
+/// State of a partition in a snapshot.
+struct LedgerState {
+  std::uint64_t epoch{0};
+  std::string owner{};
+  std::uint64_t incarnation{0};
+  std::vector<JobSummary> jobs{};
+  std::vector<WriterMark> writers{};
+  std::vector<OffsetTime> times{};
+
+  bool operator==(const LedgerState&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, owner, incarnation, jobs, writers, times);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -61,6 +61,21 @@
   reader.Read("batch", "commit_bytes",
               {.required = false, .minimum = 1024, .maximum = 16777216},
               settings.batch.commit_bytes);
+  reader.Read("batch", "failure_limit",
+              {.required = false, .minimum = 1, .maximum = 60},
+              settings.batch.failure_limit);
+  reader.Read("batch", "log_retention",
+              {.required = false, .minimum = 1000, .maximum = 31536000000},
+              settings.batch.log_retention);
+  reader.Read("batch", "result_retention",
+              {.required = false, .minimum = 1000, .maximum = 31536000000},
+              settings.batch.result_retention);
+  reader.Read("batch", "snapshot_bytes",
+              {.required = false, .minimum = 1024, .maximum = 1073741824},
+              settings.batch.snapshot_bytes);
+  reader.Read("batch", "submit_timeout",
+              {.required = false, .minimum = 10, .maximum = 600000},
+              settings.batch.submit_timeout);
   TRY(reader.Finish());
   return settings;
 }
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -71,6 +71,19 @@
     std::chrono::milliseconds commit_delay{50};
     /// Largest append in bytes.
     std::uint64_t commit_bytes{524288};
+    /// Failed attempts after which an item runs alone once more and is then
+    /// given up.
+    std::uint32_t failure_limit{3};
+    /// How long the log keeps records; open state is written again after half
+    /// of it.
+    std::chrono::milliseconds log_retention{86400000};
+    /// How long the results of a closed job stay readable.
+    std::chrono::milliseconds result_retention{172800000};
+    /// Bytes of records between two snapshots of a partition, unless the last
+    /// snapshot makes it more.
+    std::uint64_t snapshot_bytes{16777216};
+    /// Longest time a submission or a cancel waits for the log.
+    std::chrono::milliseconds submit_timeout{10000};
 
     bool operator==(const Batch&) const = default;
   };
--- a/Services/Entry/batch_interface.cc
+++ b/Services/Entry/batch_interface.cc
@@ -1,5 +1,6 @@
 #include "Entry/batch_interface.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <sstream>
 
@@ -13,21 +14,34 @@
 namespace {
 
 /// Largest number of items in one job.
-constexpr std::size_t kLargestJobItems = 410000;
+constexpr std::size_t kLargestJobItems = Job::kLargestItems;
 
 constexpr std::uint64_t kDefaultPageItems = 1000;
 
+/// Longest wait for the owner's answer to a forwarded query.
+constexpr std::chrono::seconds kForwardLimit{2};
+
+constexpr int kOk = 200;
+
 HttpResponse InvalidBatch(const std::string& message) {
   return RefusalResponse(
       {.status = 400, .code = "invalid_request", .message = message});
 }
 
-Refusal LogRefusal(const Error& error) {
-  return {.status = 503,
-          .code = "log_unavailable",
-          .message = error.message,
-          .verdict = error.verdict,
-          .retry_after = std::chrono::seconds(2)};
+HttpResponse JobRefusal(const Error& error) {
+  if (error.code == ErrorCode::kNotFound) {
+    return RefusalResponse(
+        {.status = 404, .code = "unknown_job", .message = error.message});
+  }
+  if (error.code == ErrorCode::kConflict) {
+    return RefusalResponse(
+        {.status = 409, .code = "job_conflict", .message = error.message});
+  }
+  return RefusalResponse({.status = 503,
+                          .code = "log_unavailable",
+                          .message = error.message,
+                          .verdict = error.verdict,
+                          .retry_after = std::chrono::seconds(2)});
 }
 
 Result<BatchInput> ParseBatch(const HttpRequest& request) {
@@ -79,19 +93,87 @@
     return InvalidBatch(input.error().message);
   }
   if (const auto submitted = this->store.Submit(*input); !submitted) {
-    return RefusalResponse(LogRefusal(submitted.error()));
+    return JobRefusal(submitted.error());
   }
   return JsonResponse(202,
                       {{"id", input->job}, {"items", input->items.size()}});
 }
 
 HttpResponse BatchInterface::Status(const HttpRequest& request) {
-  const auto job = this->store.Find(request.Parameter("id"));
+  return this->Answer({.job = request.Parameter("id"), .what = "status"});
+}
+
+HttpResponse BatchInterface::Cancel(const HttpRequest& request) {
+  return this->Answer({.job = request.Parameter("id"), .what = "cancel"});
+}
+
+HttpResponse BatchInterface::Results(const HttpRequest& request) {
+  const auto number = [&request](const char* name, std::uint64_t fallback) {
+    const std::string text = request.Parameter(name);
+    return text.empty() ? fallback : std::strtoull(text.c_str(), nullptr, 10);
+  };
+  const std::uint64_t first = number("first", 0);
+  auto response = this->Answer(
+      {.job = request.Parameter("id"),
+       .what = "results",
+       .first = first,
+       .limit = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+           number("limit", kDefaultPageItems), kLargestJobItems))});
+  if (response.status == kOk) {
+    const auto lines =
+        std::count(response.body.begin(), response.body.end(), '\n');
+    response.headers = {{"Content-Type", "application/jsonl"},
+                        {"X-Next-First", std::to_string(first + lines)}};
+  }
+  return response;
+}
+
+HttpResponse BatchInterface::Answer(messages::PartitionQuery query) {
+  query.partition = this->store.PartitionFor(query.job);
+  const std::string owner = this->store.OwnerOf(query.job);
+  if (!owner.empty() && owner != this->settings.host.name) {
+    auto reply = this->peers.Ask(owner, query, kForwardLimit);
+    if (reply && reply->is_owner) {
+      return {.status = reply->status,
+              .headers = {{"Content-Type", "application/json"}},
+              .body = std::move(reply->body),
+              .stream = std::nullopt};
+    }
+  }
+  return this->AnswerHere(query);
+}
+
+messages::PartitionReply BatchInterface::OnQuery(
+    const messages::PartitionQuery& query) {
+  if (query.what == "wake") {
+    this->store.WakePartition(query.partition);
+    return {};
+  }
+  if (this->store.OwnerOf(query.job) != this->settings.host.name) {
+    return {};
+  }
+  auto response = this->AnswerHere(query);
+  return {.is_owner = true,
+          .status = static_cast<std::uint16_t>(response.status),
+          .body = std::move(response.body)};
+}
+
+HttpResponse BatchInterface::AnswerHere(const messages::PartitionQuery& query) {
+  if (query.what == "cancel") {
+    return this->CancelHere(query.job);
+  }
+  if (query.what == "results") {
+    return this->ResultsHere(query.job, query.first, query.limit);
+  }
+  return this->StatusHere(query.job);
+}
+
+HttpResponse BatchInterface::StatusHere(const std::string& id) {
+  const auto job = this->store.Find(id);
   if (!job) {
-    return RefusalResponse(
-        {.status = 404, .code = "unknown_job", .message = job.error().message});
+    return JobRefusal(job.error());
   }
-  return JsonResponse(200, {{"id", job->id},
+  return JsonResponse(kOk, {{"id", job->id},
                             {"state", ToString(job->state)},
                             {"items", job->item_count},
                             {"finished", job->finished_count},
@@ -99,41 +181,29 @@
                             {"due_ms", job->due_ms}});
 }
 
-HttpResponse BatchInterface::Cancel(const HttpRequest& request) {
-  if (const auto cancelled = this->store.Cancel(request.Parameter("id"));
-      !cancelled) {
-    return RefusalResponse(LogRefusal(cancelled.error()));
+HttpResponse BatchInterface::CancelHere(const std::string& id) {
+  if (const auto cancelled = this->store.Cancel(id); !cancelled) {
+    return JobRefusal(cancelled.error());
   }
-  return JsonResponse(202, {{"id", request.Parameter("id")}});
+  return JsonResponse(202, {{"id", id}});
 }
 
-HttpResponse BatchInterface::Results(const HttpRequest& request) {
-  const auto job = this->store.Find(request.Parameter("id"));
-  if (!job) {
-    return RefusalResponse(
-        {.status = 404, .code = "unknown_job", .message = job.error().message});
-  }
-  const std::string first = request.Parameter("first");
-  const std::string limit = request.Parameter("limit");
-  std::uint64_t remaining = limit.empty()
-                                ? kDefaultPageItems
-                                : std::strtoull(limit.c_str(), nullptr, 10);
-  HttpResponse response{.status = 200,
+HttpResponse BatchInterface::ResultsHere(const std::string& id,
+                                         std::uint64_t first,
+                                         std::uint64_t limit) {
+  const auto page = this->store.ReadPage(id, first, limit);
+  if (!page) {
+    return JobRefusal(page.error());
+  }
+  HttpResponse response{.status = kOk,
                         .headers = {{"Content-Type", "application/jsonl"}},
                         .body = {},
                         .stream = std::nullopt};
-  const auto start = static_cast<std::uint32_t>(
-      std::strtoul(first.empty() ? "0" : first.c_str(), nullptr, 10));
-  for (auto item = job->items.lower_bound(start);
-       item != job->items.end() && remaining > 0; ++item) {
-    if (!item->second.is_finished) {
-      continue;
-    }
-    --remaining;
-    const nlohmann::json line = {{"index", item->first},
-                                 {"succeeded", item->second.has_succeeded},
-                                 {"text", item->second.text},
-                                 {"reason", item->second.reason}};
+  for (const auto& result : *page) {
+    const nlohmann::json line = {{"index", result.index},
+                                 {"succeeded", result.succeeded},
+                                 {"text", result.text},
+                                 {"reason", result.reason}};
     response.body +=
         line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
         "\n";
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -11,22 +11,78 @@
 
 namespace {
 
-/// Items in one record, so that an append stays well below the byte limit.
-constexpr std::size_t kItemsPerRecord = 256;
 constexpr std::uint32_t kRecordsPerRead = 256;
-constexpr std::chrono::milliseconds kLoopInterval{20};
+constexpr std::size_t kFollowers = 4;
+constexpr std::chrono::milliseconds kFirstReadDelay{20};
+constexpr std::chrono::milliseconds kLongestReadDelay{500};
+/// Shortest time between two rounds of a follower, so that load reports of a
+/// large fleet are handled together.
+constexpr std::chrono::milliseconds kShortestRound{5};
+/// Longest time a follower sleeps; claims are checked this often.
+constexpr std::chrono::milliseconds kLongestRound{50};
+constexpr std::chrono::seconds kMaintenanceInterval{1};
+constexpr std::chrono::seconds kMarkInterval{60};
+/// Longest time a stop waits for running items.
+constexpr std::chrono::seconds kDrainLimit{5};
+constexpr std::chrono::seconds kStopWriteLimit{3};
+constexpr std::size_t kBodyCacheBytes = 32u << 20;
+constexpr std::size_t kLargestPageBytes = 8u << 20;
+/// Appends that one maintenance writes again.
+constexpr std::uint32_t kCarriedRuns = 64;
+/// A snapshot is due once this many times its size was appended.
+constexpr std::uint64_t kSnapshotRatio = 4;
+
+PartitionOwnerOptions MakeOwnerOptions(const EntrySettings& settings,
+                                       std::uint64_t incarnation,
+                                       std::uint32_t partition) {
+  return {.partition = partition,
+          .name = settings.host.name,
+          .incarnation = incarnation,
+          .heartbeat_timeout = settings.batch.heartbeat_timeout,
+          .failure_limit = settings.batch.failure_limit,
+          .output_bytes = settings.batch.commit_bytes / 2};
+}
+
+std::string RoomKey(const std::string& daemon, const std::string& replica) {
+  return daemon + " " + replica;
+}
 
 }  // namespace
 
+BatchStore::Partition::Partition(std::uint32_t number,
+                                 std::uint32_t page_records,
+                                 PartitionOwnerOptions options,
+                                 std::uint64_t seed,
+                                 TimePoint now)
+    : number(number),
+      reader(page_records),
+      owner(std::move(options), ChooseFairEarliestDue, seed, now) {}
+
 BatchStore::BatchStore(const EntrySettings& settings,
                        std::uint64_t incarnation,
-                       Fleet& fleet)
+                       Fleet& fleet,
+                       PeerLink& peers)
     : settings(settings),
-      incarnation(incarnation),
       fleet(fleet),
-      log(settings.platform.log_url) {
-  for (std::uint32_t i = 0; i < settings.batch.partitions; ++i) {
-    this->partitions.try_emplace(i);
+      peers(peers),
+      log(settings.platform.log_url),
+      bodies(kBodyCacheBytes) {
+  const auto count = settings.batch.partitions;
+  for (std::size_t i = 0; i < std::min<std::size_t>(kFollowers, count); ++i) {
+    this->followers.push_back(std::make_unique<Follower>());
+  }
+  for (std::uint32_t i = 0; i < count; ++i) {
+    this->partitions.push_back(std::make_unique<Partition>(
+        i, kRecordsPerRead, MakeOwnerOptions(settings, incarnation, i),
+        SystemRandom(), MonotonicNow()));
+    auto& partition = *this->partitions.back();
+    partition.writer = std::make_unique<Writer>(
+        this->log, PartitionStream(i),
+        AppendQueueOptions{.writer = settings.host.name,
+                           .delay = settings.batch.commit_delay,
+                           .append_bytes = settings.batch.commit_bytes});
+    this->followers[i % this->followers.size()]->partitions.push_back(
+        &partition);
   }
 }
 
@@ -35,27 +91,107 @@
 }
 
 void BatchStore::Start() {
-  this->thread = std::thread([this] { this->Run(); });
+  for (auto& follower : this->followers) {
+    follower->thread = std::thread([this, &follower] { this->Run(*follower); });
+  }
 }
 
 void BatchStore::Stop() {
+  if (this->is_stopping) {
+    return;
+  }
+  for (auto& partition : this->partitions) {
+    std::lock_guard lock(partition->mutex);
+    partition->owner.Leave();
+  }
+  const TimePoint limit = MonotonicNow() + kDrainLimit;
+  const auto is_drained = [this] {
+    return std::all_of(this->partitions.begin(), this->partitions.end(),
+                       [](const auto& partition) {
+                         std::lock_guard lock(partition->mutex);
+                         return !partition->owner.is_owner() ||
+                                partition->owner.is_drained();
+                       });
+  };
+  while (!is_drained() && MonotonicNow() < limit) {
+    std::this_thread::sleep_for(kFirstReadDelay);
+  }
   this->is_stopping = true;
-  if (this->thread.joinable()) {
-    this->thread.join();
+  for (auto& follower : this->followers) {
+    follower->wake.notify_all();
+    if (follower->thread.joinable()) {
+      follower->thread.join();
+    }
+  }
+  for (auto& partition : this->partitions) {
+    std::uint64_t epoch = 0;
+    {
+      std::lock_guard lock(partition->mutex);
+      epoch = partition->owner.owned_epoch();
+    }
+    if (epoch != 0 &&
+        partition->writer->Enqueue(
+            MakeEnvelope(records::Release{.epoch = epoch}),
+            [number = partition->number, epoch](const auto& written) {
+              if (written) {
+                LogEvent(Event::kPartitionReleased,
+                         {{"partition", std::to_string(number)},
+                          {"epoch", std::to_string(epoch)}});
+              }
+            })) {
+      partition->writer->Flush();
+    }
   }
+  const TimePoint write_limit = MonotonicNow() + kStopWriteLimit;
+  for (auto& partition : this->partitions) {
+    partition->writer->Stop(
+        std::max(Duration(0), write_limit - MonotonicNow()));
+  }
+}
+
+std::uint32_t BatchStore::PartitionFor(const std::string& job) const {
+  return PartitionOf(job, this->settings.batch.partitions);
+}
+
+BatchStore::Partition& BatchStore::PartitionOfJob(
+    const std::string& job) const {
+  return *this->partitions[this->PartitionFor(job)];
+}
+
+std::string BatchStore::OwnerOf(const std::string& job) const {
+  const auto& partition = this->PartitionOfJob(job);
+  std::lock_guard lock(partition.mutex);
+  return partition.reader.ledger().owner();
 }
 
-Result<std::uint64_t> BatchStore::Append(
-    std::uint32_t partition,
-    std::vector<records::Envelope> envelopes) {
-  return this->log.Append(
-      PartitionStream(partition),
-      Encode(MakeAppend(this->settings.host.name, std::move(envelopes))));
+std::vector<messages::OwnedPartition> BatchStore::OwnedPartitions() const {
+  std::vector<messages::OwnedPartition> owned;
+  for (const auto& partition : this->partitions) {
+    std::lock_guard lock(partition->mutex);
+    if (partition->owner.is_owner()) {
+      owned.push_back({.partition = partition->number,
+                       .epoch = partition->owner.owned_epoch()});
+    }
+  }
+  return owned;
 }
 
 Result<void> BatchStore::Submit(const BatchInput& input) {
-  const std::uint32_t partition =
-      PartitionOf(input.job, this->settings.batch.partitions);
+  auto& partition = this->PartitionOfJob(input.job);
+  const auto is_accepted = [&partition, &input] {
+    std::lock_guard lock(partition.mutex);
+    const Job* job = partition.reader.ledger().FindJob(input.job);
+    return job != nullptr && job->state != JobState::kReceiving;
+  };
+  if (is_accepted()) {
+    return {};
+  }
+  {
+    std::lock_guard lock(partition.mutex);
+    if (!partition.is_log_available) {
+      return Failure(ErrorCode::kUnavailable, "log: unavailable");
+    }
+  }
   std::vector<records::Envelope> envelopes = {
       MakeEnvelope(records::JobBegin{.job = input.job,
                                      .workspace = input.workspace,
@@ -63,201 +199,704 @@
                                      .model = input.model,
                                      .due_ms = input.due_ms})};
   records::JobItems group{.job = input.job};
+  std::size_t bytes = 0;
   for (std::uint32_t i = 0; i < input.items.size(); ++i) {
+    bytes += input.items[i].prompt.size() + sizeof(records::ItemBody);
     group.items.push_back({.index = i,
                            .prompt = input.items[i].prompt,
                            .max_tokens = input.items[i].max_tokens});
-    if (group.items.size() == kItemsPerRecord) {
+    if (bytes >= this->settings.batch.commit_bytes / 2) {
       envelopes.push_back(MakeEnvelope(group));
-      TRY(this->Append(partition, std::exchange(envelopes, {})));
       group.items.clear();
+      bytes = 0;
+      // Without the commit record that comes last, the job does not exist.
+      if (auto written =
+              partition.writer->Append(std::exchange(envelopes, {}),
+                                       this->settings.batch.submit_timeout);
+          !written) {
+        return Failure(ErrorCode::kUnavailable, written.error().message);
+      }
     }
   }
-  envelopes.push_back(MakeEnvelope(group));
+  if (!group.items.empty()) {
+    envelopes.push_back(MakeEnvelope(group));
+  }
   envelopes.push_back(MakeEnvelope(records::JobCommit{
       .job = input.job,
       .item_count = static_cast<std::uint32_t>(input.items.size())}));
-  TRY(this->Append(partition, std::move(envelopes)));
+  TRY_ASSIGN(const std::uint64_t offset,
+             partition.writer->Append(std::move(envelopes),
+                                      this->settings.batch.submit_timeout));
+  // Replay decides whether the commit is valid.
+  const TimePoint limit = MonotonicNow() + this->settings.batch.submit_timeout;
+  while (true) {
+    const bool has_read = this->Refresh(partition, limit - MonotonicNow());
+    if (is_accepted()) {
+      break;
+    }
+    std::lock_guard lock(partition.mutex);
+    if (!has_read) {
+      return Failure(ErrorCode::kTimeout,
+                     "log: the job is written but could not be read back",
+                     Verdict::kMayHaveRun);
+    }
+    if (partition.reader.ledger().next_offset() > offset) {
+      return Failure(ErrorCode::kConflict, "the job exists with other items");
+    }
+  }
   LogEvent(Event::kJobAccepted,
            {{"job", input.job}, {"items", std::to_string(input.items.size())}});
+  this->peers.Tell(this->OwnerOf(input.job),
+                   {.partition = partition.number, .what = "wake"});
   return {};
 }
 
 Result<void> BatchStore::Cancel(const std::string& job) {
-  const std::uint32_t partition =
-      PartitionOf(job, this->settings.batch.partitions);
-  TRY(this->Append(partition, {MakeEnvelope(records::JobCancel{.job = job})}));
+  TRY(this->Find(job));
+  auto& partition = this->PartitionOfJob(job);
+  TRY(partition.writer->Append({MakeEnvelope(records::JobCancel{.job = job})},
+                               this->settings.batch.submit_timeout));
+  this->Poke(partition, true);
+  this->peers.Tell(this->OwnerOf(job),
+                   {.partition = partition.number, .what = "wake"});
   return {};
 }
 
-Result<Job> BatchStore::Find(const std::string& job) const {
-  std::lock_guard lock(this->mutex);
-  const auto& partition =
-      this->partitions.at(PartitionOf(job, this->settings.batch.partitions));
-  const Job* found = partition.ledger.FindJob(job);
-  if (found == nullptr) {
-    return Failure(ErrorCode::kNotFound, "job \"" + job + "\" does not exist");
+Result<Job> BatchStore::Find(const std::string& job) {
+  auto& partition = this->PartitionOfJob(job);
+  const auto find = [&partition, &job]() -> std::optional<Job> {
+    std::lock_guard lock(partition.mutex);
+    const Job* found = partition.reader.ledger().FindJob(job);
+    if (found == nullptr) {
+      return std::nullopt;
+    }
+    Job copy{.id = found->id,
+             .workspace = found->workspace,
+             .request_class = found->request_class,
+             .model = found->model,
+             .due_ms = found->due_ms,
+             .state = found->state,
+             .item_count = found->item_count,
+             .received_count = found->received_count,
+             .finished_count = found->finished_count,
+             .failed_count = found->failed_count,
+             .closed_offset = found->closed_offset};
+    return copy;
+  };
+  if (auto found = find()) {
+    return *found;
+  }
+  // Another entry may have written it just now.
+  const bool has_read =
+      this->Refresh(partition, this->settings.batch.heartbeat_timeout);
+  if (auto found = find()) {
+    return *found;
+  }
+  if (!has_read) {
+    return Failure(ErrorCode::kUnavailable, "log: unavailable");
+  }
+  return Failure(ErrorCode::kNotFound, "job \"" + job + "\" does not exist");
+}
+
+Result<std::vector<records::ItemResult>> BatchStore::ReadPage(
+    const std::string& job,
+    std::uint64_t first,
+    std::uint64_t limit) {
+  TRY(this->Find(job));
+  auto& partition = this->PartitionOfJob(job);
+  std::vector<records::ResultRun> runs;
+  {
+    std::lock_guard lock(partition.mutex);
+    const Job* found = partition.reader.ledger().FindJob(job);
+    if (found != nullptr) {
+      std::uint64_t count = 0;
+      for (const auto& run : found->result_runs) {
+        if (run.first + run.count > first && count < limit) {
+          count +=
+              run.first + run.count - std::max<std::uint64_t>(run.first, first);
+          runs.push_back(run);
+        }
+      }
+    }
+  }
+  std::vector<records::ItemResult> results;
+  std::size_t bytes = 0;
+  std::uint64_t last_offset = 0;
+  records::Append append;
+  for (const auto& run : runs) {
+    if (run.offset != last_offset) {
+      TRY_ASSIGN(
+          const LogPage page,
+          this->log.Read(PartitionStream(partition.number), run.offset, 1));
+      if (page.records.empty() || page.records[0].offset != run.offset) {
+        return Failure(ErrorCode::kUnavailable,
+                       "results are being moved in the log");
+      }
+      TRY_ASSIGN(append, Decode<records::Append>(page.records[0].data));
+      last_offset = run.offset;
+    }
+    std::uint64_t position = run.first;
+    for (auto& result : ReadResults(append, job, run)) {
+      if (position++ < first) {
+        continue;
+      }
+      // Position in the order of finishing continues after a short page.
+      if (results.size() == limit || bytes > kLargestPageBytes) {
+        return results;
+      }
+      bytes += result.text.size();
+      results.push_back(std::move(result));
+    }
+  }
+  return results;
+}
+
+void BatchStore::Poke(Partition& partition, bool must_read) {
+  {
+    std::lock_guard lock(partition.mutex);
+    partition.must_read = partition.must_read || must_read;
+    partition.must_tick = true;
+  }
+  auto& follower = *this->followers[partition.number % this->followers.size()];
+  {
+    std::lock_guard lock(follower.mutex);
+    follower.is_woken = true;
+  }
+  follower.wake.notify_all();
+}
+
+void BatchStore::Wake() {
+  for (auto& partition : this->partitions) {
+    bool is_owner = false;
+    {
+      std::lock_guard lock(partition->mutex);
+      is_owner = partition->owner.is_owner();
+    }
+    if (is_owner) {
+      this->Poke(*partition, false);
+    }
+  }
+}
+
+void BatchStore::WakePartition(std::uint32_t partition) {
+  if (partition < this->partitions.size()) {
+    this->Poke(*this->partitions[partition], true);
   }
-  return *found;
 }
 
-void BatchStore::Wake() {}
+bool BatchStore::Refresh(Partition& partition, Duration limit) {
+  std::uint64_t wanted = 0;
+  {
+    std::lock_guard lock(partition.mutex);
+    wanted = partition.reads_started + 1;
+  }
+  this->Poke(partition, true);
+  std::unique_lock lock(partition.mutex);
+  return partition.has_read.wait_for(lock, limit, [&partition, wanted] {
+    return partition.reads_done >= wanted;
+  });
+}
 
 void BatchStore::OnOffer(const std::string& daemon,
                          const messages::OfferResults& offer) {
-  std::lock_guard lock(this->mutex);
   for (const auto& held : offer.results) {
     if (held.execute.kind != messages::WorkKind::kBatch) {
       continue;
     }
-    // The request of a batch item is the job's id, a slash and the index.
-    const auto slash = held.execute.request.rfind('/');
-    const std::string job = held.execute.request.substr(0, slash);
-    auto& partition =
-        this->partitions[PartitionOf(job, this->settings.batch.partitions)];
-    partition.results.push_back({.job = job,
-                                 .index = static_cast<std::uint32_t>(std::stoul(
-                                     held.execute.request.substr(slash + 1))),
-                                 .succeeded = held.done.complete,
-                                 .text = held.text,
-                                 .reason = held.done.reason,
-                                 .token_count = held.done.token_count});
-    partition.confirmations.emplace_back(daemon, held.execute.attempt);
+    const auto item = ParseItemRequest(held.execute.request);
+    auto& partition = this->PartitionOfJob(item ? item->job : "");
+    {
+      std::lock_guard lock(partition.mutex);
+      partition.owner.OnOffer(daemon, held);
+    }
+    this->Poke(partition, false);
   }
 }
 
-void BatchStore::Run() {
+void BatchStore::Run(Follower& follower) {
   while (!this->is_stopping) {
-    for (std::uint32_t i = 0; i < this->settings.batch.partitions; ++i) {
-      this->Follow(i);
-      this->Claim(i);
-      this->WriteResults(i);
-      this->Dispatch(i);
+    TimePoint next = MonotonicNow() + kLongestRound;
+    for (Partition* partition : follower.partitions) {
+      bool must_read = false;
+      {
+        std::lock_guard lock(partition->mutex);
+        must_read =
+            partition->must_read || partition->next_read <= MonotonicNow();
+      }
+      if (must_read) {
+        this->Read(*partition);
+      }
+      this->Tick(*partition);
+      std::lock_guard lock(partition->mutex);
+      next = std::min(
+          next, partition->must_read ? TimePoint() : partition->next_read);
     }
-    std::this_thread::sleep_for(kLoopInterval);
+    std::this_thread::sleep_for(kShortestRound);
+    std::unique_lock lock(follower.mutex);
+    follower.wake.wait_until(lock, next, [this, &follower] {
+      return follower.is_woken || this->is_stopping;
+    });
+    follower.is_woken = false;
   }
 }
 
-void BatchStore::Follow(std::uint32_t partition) {
+void BatchStore::Read(Partition& partition) {
   std::uint64_t from = 0;
+  std::uint32_t limit = 0;
+  std::uint64_t number = 0;
   {
-    std::lock_guard lock(this->mutex);
-    from = this->partitions[partition].ledger.next_offset();
+    std::lock_guard lock(partition.mutex);
+    partition.must_read = false;
+    partition.must_tick = true;
+    from = partition.reader.from();
+    limit = partition.reader.limit();
+    number = ++partition.reads_started;
   }
-  const auto page =
-      this->log.Read(PartitionStream(partition), from, kRecordsPerRead);
+  const auto stream = PartitionStream(partition.number);
+  const auto page = this->log.Read(stream, from, limit);
+  std::unique_lock lock(partition.mutex);
+  const TimePoint now = MonotonicNow();
+  const bool was_available =
+      std::exchange(partition.is_log_available, page.has_value());
+  partition.read_delay =
+      std::clamp(partition.read_delay * 2, Duration(kFirstReadDelay),
+                 Duration(kLongestReadDelay));
+  partition.next_read = now + partition.read_delay;
   if (!page) {
-    LogEvent(Event::kLogUnavailable, {{"stream", PartitionStream(partition)},
-                                      {"reason", page.error().message}});
+    if (was_available) {
+      LogEvent(Event::kLogUnavailable,
+               {{"stream", stream}, {"reason", page.error().message}});
+    }
     return;
   }
-  std::lock_guard lock(this->mutex);
-  for (const auto& record : page->records) {
-    this->partitions[partition].ledger.Apply(record.offset, record.data);
+  const bool is_owner = partition.owner.is_owner();
+  bool has_records = false;
+  const auto applied =
+      partition.reader.OnPage(*page, [&](const LogRecord& record) {
+        has_records = true;
+        partition.bytes_since_snapshot += record.data.size();
+        if (is_owner) {
+          this->bodies.Put(partition.number, record.offset, record.data);
+        }
+      });
+  if (!applied) {
+    LogEvent(Event::kStreamHeadLost,
+             {{"stream", stream}, {"reason", applied.error().message}});
+    return;
+  }
+  if (has_records) {
+    partition.read_delay = kFirstReadDelay;
+    partition.next_read = now + partition.read_delay;
+  }
+  if (partition.reader.is_current()) {
+    // Covers the reads that started before this one as well.
+    partition.reads_done = number;
+    partition.has_read.notify_all();
+  } else {
+    partition.must_read = true;
   }
 }
 
-void BatchStore::Claim(std::uint32_t partition) {
-  std::uint64_t epoch = 0;
+void BatchStore::Tick(Partition& partition) {
+  const TimePoint now = MonotonicNow();
   {
-    std::lock_guard lock(this->mutex);
-    const auto& ledger = this->partitions[partition].ledger;
-    if (!ledger.owner().empty()) {
-      return;
+    std::lock_guard lock(partition.mutex);
+    const std::uint64_t before = partition.owner.owned_epoch();
+    auto& ledger = partition.reader.ledger();
+    partition.owner.OnReplay(ledger, partition.reader.is_current(), now);
+    const std::uint64_t after = partition.owner.owned_epoch();
+    if (before != after) {
+      const bool is_claimed = after != 0;
+      LogEvent(
+          is_claimed ? Event::kPartitionClaimed : Event::kPartitionLost,
+          {{"partition", std::to_string(partition.number)},
+           {"epoch", std::to_string(is_claimed ? after : ledger.epoch())}});
+      partition.next_mark = now;
+      partition.carried_through = 0;
+      partition.carry_pending = 0;
     }
-    epoch = ledger.epoch();
   }
-  const auto claimed = this->Append(
-      partition,
-      {MakeEnvelope(records::Claim{.replaced_epoch = epoch,
-                                   .owner = this->settings.host.name,
-                                   .incarnation = this->incarnation})});
-  if (claimed) {
-    LogEvent(Event::kPartitionClaimed,
-             {{"partition", std::to_string(partition)},
-              {"epoch", std::to_string(*claimed)}});
+  this->Claim(partition, now);
+  this->Dispatch(partition);
+  this->WriteOutput(partition);
+  this->Maintain(partition, now);
+}
+
+void BatchStore::Claim(Partition& partition, TimePoint now) {
+  const auto peer_views = this->peers.peers();
+  std::lock_guard lock(partition.mutex);
+  const auto& ledger = partition.reader.ledger();
+  if (partition.claim_token &&
+      partition.owner.IsClaimObsolete(ledger, peer_views, now)) {
+    if (partition.writer->Withdraw(*partition.claim_token)) {
+      partition.owner.OnClaimWithdrawn();
+    }
+    partition.claim_token.reset();
+  }
+  const auto claim = partition.owner.ClaimIfDue(ledger, peer_views, now);
+  if (!claim) {
+    return;
+  }
+  if (!partition.is_log_available) {
+    partition.owner.OnClaimWithdrawn();
+    return;
+  }
+  const auto token = partition.writer->Enqueue(
+      MakeEnvelope(*claim), [this, &partition](const auto& written) {
+        if (written) {
+          this->Poke(partition, true);
+        }
+      });
+  if (token) {
+    partition.claim_token = *token;
+  } else {
+    partition.owner.OnClaimWithdrawn();
   }
 }
 
-void BatchStore::WriteResults(std::uint32_t partition) {
-  records::ItemResults record;
-  std::vector<std::pair<std::string, std::string>> confirmations;
+std::vector<ReplicaRoom> BatchStore::MakeRooms() const {
+  std::vector<ReplicaRoom> all;
+  const auto& host = this->settings.host;
+  for (const auto& view : this->fleet.AllReplicas()) {
+    if (view.load.leaving) {
+      continue;
+    }
+    const auto sent =
+        this->rooms.counts.find(RoomKey(view.daemon, view.load.replica));
+    const std::uint32_t occupied =
+        std::max(view.load.batch_running,
+                 sent == this->rooms.counts.end() ? 0 : sent->second);
+    // The report may be older than the last items sent.
+    const std::uint32_t capacity =
+        view.load.batch_running + view.load.batch_room;
+    all.push_back({.daemon = view.daemon,
+                   .endpoint = view.load.endpoint,
+                   .replica = view.load.replica,
+                   .models = view.load.models,
+                   .room = capacity > occupied ? capacity - occupied : 0,
+                   .occupied = occupied,
+                   .distance = view.availability_zone == host.availability_zone
+                                   ? 0u
+                               : view.region == host.region ? 1u
+                                                            : 2u});
+  }
+  return all;
+}
+
+void BatchStore::Dispatch(Partition& partition) {
   {
-    std::lock_guard lock(this->mutex);
-    auto& state = this->partitions[partition];
-    if (state.results.empty()) {
+    std::lock_guard lock(partition.mutex);
+    if (!partition.owner.is_owner()) {
       return;
     }
-    record = {.epoch = state.ledger.epoch(),
-              .results = std::exchange(state.results, {})};
-    confirmations = std::exchange(state.confirmations, {});
-  }
-  const auto written = this->Append(partition, {MakeEnvelope(record)});
-  std::lock_guard lock(this->mutex);
-  auto& state = this->partitions[partition];
-  if (!written) {
-    state.results.insert(state.results.end(), record.results.begin(),
-                         record.results.end());
-    state.confirmations.insert(state.confirmations.end(), confirmations.begin(),
-                               confirmations.end());
-    return;
   }
-  for (const auto& result : record.results) {
-    state.running.erase({result.job, result.index});
+  std::vector<ItemDispatch> items;
+  std::map<std::string, Job> jobs;
+  {
+    std::lock_guard lock(partition.mutex);
+    std::lock_guard rooms_lock(this->rooms_mutex);
+    auto free_rooms = this->MakeRooms();
+    partition.owner.Reserve(free_rooms);
+    const auto& ledger = partition.reader.ledger();
+    items = partition.owner.Dispatch(ledger, free_rooms, MonotonicNow());
+    for (const auto& item : items) {
+      const std::string key = RoomKey(item.daemon, item.replica);
+      this->rooms.replicas[item.attempt] = key;
+      ++this->rooms.counts[key];
+      if (const Job* job = ledger.FindJob(item.item.job);
+          job != nullptr && !jobs.contains(job->id)) {
+        jobs[job->id] = {.id = job->id,
+                         .workspace = job->workspace,
+                         .request_class = job->request_class,
+                         .model = job->model};
+      }
+    }
+  }
+  for (const auto& item : items) {
+    this->SendItem(partition, item, jobs.at(item.item.job));
+  }
+}
+
+void BatchStore::SendItem(Partition& partition,
+                          const ItemDispatch& dispatch,
+                          const Job& job) {
+  auto body =
+      this->bodies.Find(partition.number, dispatch.body_offset, dispatch.item);
+  Verdict failed_verdict = Verdict::kNotRun;
+  if (!body) {
+    const auto page = this->log.Read(PartitionStream(partition.number),
+                                     dispatch.body_offset, 1);
+    if (page && !page->records.empty() &&
+        page->records[0].offset == dispatch.body_offset) {
+      this->bodies.Put(partition.number, dispatch.body_offset,
+                       page->records[0].data);
+      body = this->bodies.Find(partition.number, dispatch.body_offset,
+                               dispatch.item);
+    } else if (page && page->first > dispatch.body_offset) {
+      // The body is gone for good; the attempt counts, so that the item ends
+      // with a failure.
+      failed_verdict = Verdict::kRan;
+    }
+  }
+  const auto fail = [this, &partition,
+                     attempt = dispatch.attempt](Verdict verdict) {
+    this->EndAttempt(attempt);
+    std::lock_guard lock(partition.mutex);
+    partition.owner.OnFailed(attempt, verdict, MonotonicNow());
+  };
+  if (!body) {
+    fail(failed_verdict);
+    return;
   }
-  for (const auto& [daemon, attempt] : confirmations) {
-    this->fleet.Send(daemon, messages::ConfirmResults{.attempts = {attempt}});
+  const auto sent = this->fleet.Execute(
+      dispatch.daemon,
+      {.attempt = dispatch.attempt,
+       .request = RequestOf(dispatch.item),
+       .workspace = job.workspace,
+       .request_class = job.request_class,
+       .kind = messages::WorkKind::kBatch,
+       .endpoint = dispatch.endpoint,
+       .replica = dispatch.replica,
+       .model = job.model,
+       .prompt = body->prompt,
+       .max_tokens = body->max_tokens,
+       .repeatable = true,
+       .epoch = dispatch.epoch},
+      {.on_chunk = {},
+       .on_done = [this, &partition, fail](const messages::AttemptDone& done) {
+         if (done.complete) {
+           this->EndAttempt(done.attempt);
+         } else {
+           fail(done.verdict);
+         }
+         this->Poke(partition, false);
+       }});
+  if (!sent) {
+    fail(Verdict::kNotRun);
   }
 }
 
-void BatchStore::Dispatch(std::uint32_t partition) {
-  std::lock_guard lock(this->mutex);
-  auto& state = this->partitions[partition];
-  if (state.ledger.owner() != this->settings.host.name) {
+void BatchStore::EndAttempt(const std::string& attempt) {
+  std::lock_guard lock(this->rooms_mutex);
+  const auto found = this->rooms.replicas.find(attempt);
+  if (found == this->rooms.replicas.end()) {
     return;
   }
-  for (const auto& [id, job] : state.ledger.jobs()) {
-    if (job.state != JobState::kAccepted) {
-      continue;
+  if (--this->rooms.counts[found->second] == 0) {
+    this->rooms.counts.erase(found->second);
+  }
+  this->rooms.replicas.erase(found);
+}
+
+bool BatchStore::Write(Partition& partition, records::Envelope envelope) {
+  return partition.writer
+      ->Enqueue(std::move(envelope),
+                [this, &partition](const auto& written) {
+                  if (written) {
+                    this->Poke(partition, true);
+                  }
+                })
+      .has_value();
+}
+
+void BatchStore::WriteOutput(Partition& partition) {
+  OwnerOutput output;
+  {
+    std::lock_guard lock(partition.mutex);
+    output = partition.owner.TakeOutput(partition.reader.ledger());
+  }
+  for (const auto& item : output.given_up) {
+    LogEvent(Event::kItemGivenUp,
+             {{"job", item.job}, {"item", std::to_string(item.index)}});
+  }
+  bool is_written = true;
+  if (!output.results.results.empty()) {
+    is_written = this->Write(partition, MakeEnvelope(output.results));
+  }
+  if (is_written && !output.failures.failures.empty()) {
+    is_written = this->Write(partition, MakeEnvelope(output.failures));
+    output.results.results.clear();
+  }
+  if (!is_written) {
+    std::lock_guard lock(partition.mutex);
+    partition.owner.OnWriteRefused(output);
+  }
+  std::map<std::string, messages::ConfirmResults> confirmations;
+  for (const auto& place : output.confirm) {
+    confirmations[place.daemon].attempts.push_back(place.attempt);
+  }
+  for (const auto& [daemon, message] : confirmations) {
+    this->fleet.Send(daemon, message);
+  }
+  for (const auto& place : output.revoke) {
+    this->fleet.Revoke(place.daemon, place.attempt,
+                       [this, attempt = place.attempt](Verdict verdict) {
+                         // No end follows for an attempt that never started.
+                         if (verdict == Verdict::kNotRun) {
+                           this->EndAttempt(attempt);
+                         }
+                       });
+  }
+}
+
+void BatchStore::Maintain(Partition& partition, TimePoint now) {
+  {
+    std::lock_guard lock(partition.mutex);
+    if (!partition.owner.is_owner() || !partition.reader.is_current() ||
+        now < partition.next_maintenance || !partition.is_log_available) {
+      return;
     }
-    auto views = this->fleet.ReplicasFor(job.model);
-    for (const auto& [index, item] : job.items) {
-      if (item.is_finished || state.running.contains({id, index})) {
-        continue;
+    partition.next_maintenance = now + kMaintenanceInterval;
+  }
+  const std::int64_t unix_ms = UnixMilliseconds();
+  std::vector<records::Envelope> envelopes;
+  bool is_snapshot_due = false;
+  {
+    std::lock_guard lock(partition.mutex);
+    const auto& ledger = partition.reader.ledger();
+    const std::uint64_t epoch = partition.owner.owned_epoch();
+    // Short retention times in tests need marks more often.
+    const Duration mark_interval =
+        std::min(Duration(kMarkInterval),
+                 Duration(this->settings.batch.log_retention) / 16);
+    if (partition.next_mark <= now) {
+      partition.next_mark = now + mark_interval;
+      envelopes.push_back(
+          MakeEnvelope(records::TimeMark{.epoch = epoch, .unix_ms = unix_ms}));
+    }
+    for (const auto& [id, job] : ledger.jobs()) {
+      const std::int64_t closed =
+          job.is_closed() ? ledger.LatestTimeOf(job.closed_offset) : 0;
+      if (closed != 0 &&
+          closed + this->settings.batch.result_retention.count() < unix_ms) {
+        envelopes.push_back(
+            MakeEnvelope(records::JobForget{.epoch = epoch, .job = id}));
+      }
+    }
+    is_snapshot_due = partition.bytes_since_snapshot >
+                      std::max(this->settings.batch.snapshot_bytes,
+                               kSnapshotRatio * partition.snapshot_bytes);
+  }
+  for (auto& envelope : envelopes) {
+    this->Write(partition, std::move(envelope));
+  }
+  this->Carry(partition, unix_ms);
+  if (is_snapshot_due) {
+    this->WriteSnapshot(partition);
+  }
+}
+
+void BatchStore::Carry(Partition& partition, std::int64_t unix_ms) {
+  struct Move {
+    std::string job;
+    std::uint64_t offset = 0;
+    std::vector<std::uint32_t> items;
+    std::optional<records::ResultRun> run;
+  };
+  std::vector<Move> moves;
+  std::uint64_t epoch = 0;
+  {
+    std::lock_guard lock(partition.mutex);
+    const auto& ledger = partition.reader.ledger();
+    const std::uint64_t old = ledger.OffsetBefore(
+        unix_ms - this->settings.batch.log_retention.count() / 2);
+    if (old <= partition.carried_through || partition.carry_pending > 0 ||
+        ledger.next_offset() <= partition.carry_replayed_at) {
+      return;
+    }
+    epoch = partition.owner.owned_epoch();
+    for (const auto& [id, job] : ledger.jobs()) {
+      for (const auto& [first, run] : job.item_runs) {
+        if (run.offset > old || moves.size() >= kCarriedRuns) {
+          continue;
+        }
+        Move move{.job = id, .offset = run.offset, .items = {}, .run = {}};
+        for (std::uint32_t i = first; i < first + run.count; ++i) {
+          if (!job.IsFinished(i)) {
+            move.items.push_back(i);
+          }
+        }
+        if (!move.items.empty()) {
+          moves.push_back(std::move(move));
+        }
       }
-      const auto view = std::find_if(
-          views.begin(), views.end(),
-          [](const auto& candidate) { return candidate.load.batch_room > 0; });
-      if (view == views.end()) {
-        break;
+      for (const auto& run : job.result_runs) {
+        if (run.offset <= old && moves.size() < kCarriedRuns) {
+          moves.push_back(
+              {.job = id, .offset = run.offset, .items = {}, .run = run});
+        }
       }
-      --view->load.batch_room;
-      const auto sent = this->fleet.Execute(
-          view->daemon,
-          {.attempt = MakeIdentifier("b"),
-           .request = id + "/" + std::to_string(index),
-           .workspace = job.workspace,
-           .request_class = job.request_class,
-           .kind = messages::WorkKind::kBatch,
-           .endpoint = view->load.endpoint,
-           .replica = view->load.replica,
-           .model = job.model,
-           .prompt = item.prompt,
-           .max_tokens = item.max_tokens,
-           .repeatable = true,
-           .epoch = state.ledger.epoch()},
-          {.on_chunk = {},
-           .on_done = [this, partition, id = id,
-                       index = index](const messages::AttemptDone& done) {
-             if (done.complete) {
-               return;
-             }
-             std::lock_guard lock(this->mutex);
-             this->partitions[partition].running.erase({id, index});
-           }});
-      if (sent) {
-        state.running.insert({id, index});
+    }
+    if (moves.empty()) {
+      partition.carried_through = old;
+      return;
+    }
+  }
+  for (const auto& move : moves) {
+    const auto page =
+        this->log.Read(PartitionStream(partition.number), move.offset, 1);
+    if (!page || page->records.empty() ||
+        page->records[0].offset != move.offset) {
+      continue;
+    }
+    const auto append = Decode<records::Append>(page->records[0].data);
+    if (!append) {
+      continue;
+    }
+    records::Envelope envelope;
+    if (move.run) {
+      envelope = MakeEnvelope(records::CarriedResults{
+          .epoch = epoch,
+          .job = move.job,
+          .first = move.run->first,
+          .results = ReadResults(*append, move.job, *move.run)});
+    } else {
+      records::CarriedItems carried{.epoch = epoch, .job = move.job};
+      for (const std::uint32_t index : move.items) {
+        if (auto body = FindItemBody(*append, move.job, index)) {
+          carried.items.push_back(std::move(*body));
+        }
       }
+      envelope = MakeEnvelope(carried);
+    }
+    const auto on_written = [this, &partition](const auto& written) {
+      {
+        std::lock_guard lock(partition.mutex);
+        partition.carry_pending -= partition.carry_pending > 0 ? 1 : 0;
+        if (written) {
+          partition.carry_replayed_at =
+              std::max(partition.carry_replayed_at, *written);
+        }
+      }
+      this->Poke(partition, true);
+    };
+    std::lock_guard lock(partition.mutex);
+    if (partition.writer->Enqueue(std::move(envelope), on_written)) {
+      ++partition.carry_pending;
+    }
+  }
+}
+
+void BatchStore::WriteSnapshot(Partition& partition) {
+  std::vector<records::Snapshot> parts;
+  {
+    std::lock_guard lock(partition.mutex);
+    parts = partition.reader.ledger().MakeSnapshot(
+        this->settings.batch.commit_bytes / 2);
+    partition.snapshot_bytes = 0;
+    for (const auto& part : parts) {
+      partition.snapshot_bytes += part.state.size();
+    }
+    partition.bytes_since_snapshot = 0;
+  }
+  LogEvent(Event::kSnapshotWritten,
+           {{"partition", std::to_string(partition.number)},
+            {"through", std::to_string(parts.front().through_offset)},
+            {"parts", std::to_string(parts.size())}});
+  for (const auto& part : parts) {
+    // Readers ignore a snapshot of which a part is missing.
+    if (!this->Write(partition, MakeEnvelope(part))) {
+      return;
     }
   }
 }
--- a/Services/Entry/batch_store.h
+++ b/Services/Entry/batch_store.h
@@ -2,17 +2,21 @@
 #define ENTRY_BATCH_STORE_H_
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <thread>
-#include <utility>
 #include <vector>
 
+#include "Entry/body_cache.h"
 #include "Entry/fleet.h"
-#include "LibLedger/partition_ledger.h"
+#include "Entry/peer_link.h"
+#include "LibLedger/ledger_reader.h"
+#include "LibLedger/log_writer.h"
+#include "LibLedger/partition_owner.h"
 #include "LibPlatform/http_log_client.h"
 #include "LibSettings/settings.h"
 
@@ -32,56 +36,134 @@
   std::vector<BatchItemInput> items;
 };
 
-/// Batch partitions of this entry: replays their streams, hands items to
-/// daemons that ask for them and writes results to the log.
+/// Batch partitions as this entry sees them: replays every stream, owns some
+/// of the partitions and runs their items. Thread-safe.
+///
+/// Threads follow the streams; each partition belongs to one of them. An idle
+/// stream is read ever less often, and at once when something was written to
+/// it here or another entry tells of a write.
 class BatchStore {
  public:
   BatchStore(const EntrySettings& settings,
              std::uint64_t incarnation,
-             Fleet& fleet);
+             Fleet& fleet,
+             PeerLink& peers);
   ~BatchStore();
 
   void Start();
+  /// Sends no more items, waits a short time for those that run, and releases
+  /// the partitions.
   void Stop();
 
-  /// Writes the job to the log; on success it is accepted.
+  /// Writes the job to the log; on success it is accepted. Fails with
+  /// kConflict if the job exists with other items. Any entry may do this.
   Result<void> Submit(const BatchInput& input);
+  /// Writes the cancel to the log. Fails with kNotFound for an unknown job.
   Result<void> Cancel(const std::string& job);
 
-  /// Copy of a job's state, for status and results.
-  Result<Job> Find(const std::string& job) const;
+  /// A job's state without its items, as replayed here.
+  Result<Job> Find(const std::string& job);
+  /// Results of a job in the order of finishing, read from the log, from
+  /// position `first`.
+  Result<std::vector<records::ItemResult>> ReadPage(const std::string& job,
+                                                    std::uint64_t first,
+                                                    std::uint64_t limit);
 
-  /// Called when load figures or results arrive.
+  /// Name of the partition's owner, as replayed here.
+  std::string OwnerOf(const std::string& job) const;
+  std::uint32_t PartitionFor(const std::string& job) const;
+  std::vector<messages::OwnedPartition> OwnedPartitions() const;
+
+  /// Called when load figures arrive: items may be sent.
   void Wake();
+  /// Reads the partition's stream now.
+  void WakePartition(std::uint32_t partition);
   void OnOffer(const std::string& daemon, const messages::OfferResults& offer);
 
  private:
+  using Writer = LogWriter<HttpLogClient>;
+
   struct Partition {
-    PartitionLedger ledger;
-    /// Items handed out and not finished, by job and index.
-    std::set<std::pair<std::string, std::uint32_t>> running;
-    std::vector<records::ItemResult> results;
-    std::vector<std::pair<std::string, std::string>> confirmations;
+    std::uint32_t number = 0;
+    std::unique_ptr<Writer> writer;
+
+    /// Guards what follows. Taken before `rooms_mutex`.
+    mutable std::mutex mutex;
+    std::condition_variable has_read;
+    LedgerReader reader;
+    PartitionOwner owner;
+    bool must_read = true;
+    bool must_tick = true;
+    TimePoint next_read{};
+    Duration read_delay{};
+    std::uint64_t reads_started = 0;
+    std::uint64_t reads_done = 0;
+    bool is_log_available = true;
+    std::optional<std::uint64_t> claim_token;
+    /// Bytes applied since the last snapshot, and that snapshot's size.
+    std::uint64_t bytes_since_snapshot = 0;
+    std::uint64_t snapshot_bytes = 0;
+    TimePoint next_maintenance{};
+    TimePoint next_mark{};
+    /// Open state up to this offset was written again.
+    std::uint64_t carried_through = 0;
+    /// Records of the last carry that are not replayed yet.
+    std::uint32_t carry_pending = 0;
+    std::uint64_t carry_replayed_at = 0;
+
+    Partition(std::uint32_t number,
+              std::uint32_t page_records,
+              PartitionOwnerOptions options,
+              std::uint64_t seed,
+              TimePoint now);
+  };
+  struct Follower {
+    std::mutex mutex;
+    std::condition_variable wake;
+    bool is_woken = false;
+    std::vector<Partition*> partitions;
+    std::thread thread;
+  };
+  /// Attempts sent by this entry that have not ended, for each replica.
+  struct Rooms {
+    std::map<std::string, std::string> replicas;
+    std::map<std::string, std::uint32_t> counts;
   };
 
-  void Run();
-  void Follow(std::uint32_t partition);
-  void Claim(std::uint32_t partition);
-  void WriteResults(std::uint32_t partition);
-  void Dispatch(std::uint32_t partition);
-  Result<std::uint64_t> Append(std::uint32_t partition,
-                               std::vector<records::Envelope> envelopes);
+  void Run(Follower& follower);
+  void Read(Partition& partition);
+  void Tick(Partition& partition);
+  void Claim(Partition& partition, TimePoint now);
+  void Dispatch(Partition& partition);
+  void SendItem(Partition& partition,
+                const ItemDispatch& dispatch,
+                const Job& job);
+  void WriteOutput(Partition& partition);
+  void Maintain(Partition& partition, TimePoint now);
+  void Carry(Partition& partition, std::int64_t unix_ms);
+  void WriteSnapshot(Partition& partition);
+  std::vector<ReplicaRoom> MakeRooms() const;
+  void EndAttempt(const std::string& attempt);
+  /// Wakes the follower of the partition, to read or only to act.
+  void Poke(Partition& partition, bool must_read);
+  /// Waits until the stream was read to its end after the call.
+  bool Refresh(Partition& partition, Duration limit);
+  /// Queues a record whose callback reads the stream.
+  bool Write(Partition& partition, records::Envelope envelope);
+  Partition& PartitionOfJob(const std::string& job) const;
 
   const EntrySettings settings;
-  const std::uint64_t incarnation;
   Fleet& fleet;
+  PeerLink& peers;
   HttpLogClient log;
-
-  /// Guards `partitions`. Taken before the Fleet's lock.
-  mutable std::mutex mutex;
-  std::map<std::uint32_t, Partition> partitions;
+  BodyCache bodies;
+  std::vector<std::unique_ptr<Partition>> partitions;
+  std::vector<std::unique_ptr<Follower>> followers;
   std::atomic<bool> is_stopping = false;
-  std::thread thread;
+
+  /// Guards `rooms`. Taken before the Fleet's lock.
+  mutable std::mutex rooms_mutex;
+  Rooms rooms;
 };
 
 }  // namespace crocus
--- /dev/null
+++ b/Services/Entry/body_cache.h
@@ -0,0 +1,53 @@
+#ifndef ENTRY_BODY_CACHE_H_
+#define ENTRY_BODY_CACHE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "LibLedger/partition_owner.h"
+
+namespace crocus {
+
+/// Item bodies of appends that were read lately, so that the items of one
+/// append cost one read and work goes on while the log is away. The appends
+/// used longest ago are dropped at the limit. Thread-safe.
+class BodyCache {
+ public:
+  explicit BodyCache(std::size_t maximum_bytes)
+      : maximum_bytes(maximum_bytes) {}
+
+  /// Keeps the items of an append, if it has any.
+  void Put(std::uint32_t partition,
+           std::uint64_t offset,
+           std::string_view data);
+  std::optional<records::ItemBody> Find(std::uint32_t partition,
+                                        std::uint64_t offset,
+                                        const ItemKey& item);
+
+ private:
+  using Place = std::pair<std::uint32_t, std::uint64_t>;
+  struct Bodies {
+    std::map<ItemKey, records::ItemBody> items;
+    std::size_t bytes = 0;
+    std::list<Place>::iterator use;
+  };
+
+  const std::size_t maximum_bytes;
+
+  /// Guards what follows; a leaf lock.
+  std::mutex mutex;
+  std::map<Place, Bodies> appends;
+  /// Most recently used first.
+  std::list<Place> uses;
+  std::size_t bytes = 0;
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_BODY_CACHE_H_
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -24,9 +24,10 @@
                    this->batches.OnOffer(daemon, offer);
                  },
              .on_lost = [](const std::string&) {}}),
-      batches(this->settings, this->incarnation, this->fleet),
+      peers(this->io, this->settings, this->incarnation),
+      batches(this->settings, this->incarnation, this->fleet, this->peers),
       requests(this->settings, this->fleet),
-      batch_interface(this->batches),
+      batch_interface(this->settings, this->batches, this->peers),
       server({.address = this->settings.host.address,
               .port = this->settings.host.http_port,
               .connection_limit = this->settings.limits.connections,
@@ -38,6 +39,15 @@
 
 Result<void> Entry::Start() {
   this->AddRoutes();
+  TRY(this->peers.Start(
+      [this] {
+        return messages::Heartbeat{
+            .http_port = this->server.port(),
+            .partitions = this->batches.OwnedPartitions()};
+      },
+      [this](const messages::PartitionQuery& query) {
+        return this->batch_interface.OnQuery(query);
+      }));
   this->fleet.Start();
   this->batches.Start();
   return this->server.Start();
@@ -47,6 +57,7 @@
   this->is_leaving = true;
   this->server.Stop();
   this->batches.Stop();
+  this->peers.Stop();
   this->fleet.Stop();
 }
 
--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -9,6 +9,7 @@
 #include "Entry/batch_store.h"
 #include "Entry/fleet.h"
 #include "Entry/online_requests.h"
+#include "Entry/peer_link.h"
 #include "LibCore/result.h"
 #include "LibHttp/http_server.h"
 #include "LibNetwork/io_thread.h"
@@ -28,6 +29,7 @@
   void Stop();
 
   std::uint16_t http_port() const { return this->server.port(); }
+  std::uint16_t internal_port() const { return this->peers.internal_port(); }
 
  private:
   void AddRoutes();
@@ -37,6 +39,7 @@
   std::atomic<bool> is_leaving = false;
   IoThread io;
   Fleet fleet;
+  PeerLink peers;
   BatchStore batches;
   OnlineRequests requests;
   BatchInterface batch_interface;
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -25,7 +25,9 @@
   const std::string port = std::to_string(entry.http_port());
   if (!settings->host.port_file.empty()) {
     crocus::WriteFileAtomically(settings->host.port_file,
-                                "http " + port + "\n");
+                                "http " + port + "\ninternal " +
+                                    std::to_string(entry.internal_port()) +
+                                    "\n");
   }
   crocus::LogEvent(Event::kProgramStarted,
                    {{"program", "crocus-entry"}, {"http_port", port}});
--- /dev/null
+++ b/Services/Entry/peer_link.cc
@@ -0,0 +1,260 @@
+#include "Entry/peer_link.h"
+
+#include <future>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+/// Threads that answer queries; an answer may read from the log.
+constexpr std::size_t kQueryThreads = 2;
+
+/// Tries to find a port that is free for both TCP and UDP.
+constexpr int kPortTries = 20;
+
+/// Heartbeats in one timeout, so that single lost datagrams do not matter.
+constexpr int kHeartbeatsPerTimeout = 5;
+
+}  // namespace
+
+PeerLink::PeerLink(IoThread& io,
+                   const EntrySettings& settings,
+                   std::uint64_t incarnation)
+    : io(io),
+      settings(settings),
+      incarnation(incarnation),
+      timer(io.context()) {}
+
+Result<void> PeerLink::Start(std::function<messages::Heartbeat()> heartbeat,
+                             QueryHandler on_query) {
+  this->make_heartbeat = std::move(heartbeat);
+  this->on_query = std::move(on_query);
+  this->workers = std::make_unique<WorkerPool>(kQueryThreads);
+  const auto& host = this->settings.host;
+  for (int tries = 1;; ++tries) {
+    TRY_ASSIGN(this->server,
+               FrameServer::Listen(
+                   this->io.context(), host.address, host.internal_port,
+                   {.on_open = [](const auto&) {},
+                    .on_frame =
+                        [this](const auto& connection, const Frame& frame) {
+                          this->OnServerFrame(connection, frame);
+                        },
+                    .on_closed = [](const auto&, const auto&) {}}));
+    this->port = this->server->port();
+    auto opened = HeartbeatSocket::Open(
+        this->io.context(), host.address, this->port,
+        [this](const messages::Heartbeat& received, const std::string& from) {
+          this->OnHeartbeat(received, from);
+        });
+    if (opened) {
+      this->socket = std::move(*opened);
+      break;
+    }
+    this->server->Close();
+    if (host.internal_port != 0 || tries == kPortTries) {
+      return tl::unexpected(std::move(opened).error());
+    }
+  }
+  boost::asio::post(this->io.context(), [this] { this->SendHeartbeats(); });
+  return {};
+}
+
+void PeerLink::Stop() {
+  std::map<std::string, std::shared_ptr<FrameClient>> stopped;
+  {
+    std::lock_guard lock(this->mutex);
+    if (this->is_stopped) {
+      return;
+    }
+    this->is_stopped = true;
+    stopped = std::exchange(this->clients, {});
+  }
+  if (this->socket != nullptr) {
+    // Tells the others at once that this entry leaves.
+    this->SendHeartbeats();
+    this->server->Close();
+  }
+  for (const auto& [address, client] : stopped) {
+    client->Stop();
+  }
+}
+
+std::vector<PeerView> PeerLink::peers() const {
+  std::lock_guard lock(this->mutex);
+  std::vector<PeerView> views;
+  for (const auto& [name, peer] : this->known) {
+    views.push_back(peer.view);
+  }
+  return views;
+}
+
+void PeerLink::OnHeartbeat(const messages::Heartbeat& heartbeat,
+                           const std::string& from_address) {
+  if (heartbeat.name == this->settings.host.name) {
+    return;
+  }
+  std::lock_guard lock(this->mutex);
+  if (heartbeat.leaving) {
+    this->known.erase(heartbeat.name);
+    return;
+  }
+  this->known[heartbeat.name] = {
+      .view = {.name = heartbeat.name,
+               .incarnation = heartbeat.incarnation,
+               .heard = MonotonicNow()},
+      .address = (from_address.find(':') == std::string::npos
+                      ? from_address
+                      : "[" + from_address + "]") +
+                 ":" + std::to_string(heartbeat.internal_port)};
+}
+
+void PeerLink::SendHeartbeats() {
+  messages::Heartbeat heartbeat = this->make_heartbeat();
+  heartbeat.name = this->settings.host.name;
+  heartbeat.incarnation = this->incarnation;
+  heartbeat.internal_port = this->port;
+  std::set<std::string> addresses(this->settings.fleet.entries.begin(),
+                                  this->settings.fleet.entries.end());
+  {
+    std::lock_guard lock(this->mutex);
+    heartbeat.leaving = heartbeat.leaving || this->is_stopped;
+    for (const auto& [name, peer] : this->known) {
+      addresses.insert(peer.address);
+    }
+  }
+  for (const auto& address : addresses) {
+    this->socket->Send(address, heartbeat);
+  }
+  if (heartbeat.leaving) {
+    return;
+  }
+  this->timer.expires_after(this->settings.batch.heartbeat_timeout /
+                            kHeartbeatsPerTimeout);
+  this->timer.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      this->SendHeartbeats();
+    }
+  });
+}
+
+std::shared_ptr<FrameClient> PeerLink::ClientOf(const std::string& name) {
+  const auto peer = this->known.find(name);
+  if (peer == this->known.end() || this->is_stopped) {
+    return nullptr;
+  }
+  const std::string& address = peer->second.address;
+  auto& client = this->clients[address];
+  if (client == nullptr) {
+    client = std::make_shared<FrameClient>(
+        this->io.context(), address,
+        ConnectionHandlers{
+            .on_open = [](const auto&) {},
+            .on_frame = [this](const auto&,
+                               const Frame& frame) { this->OnReply(frame); },
+            .on_closed = [this, address](
+                             const auto&,
+                             const auto&) { this->OnClosed(address); }});
+    client->Start();
+  }
+  return client;
+}
+
+Result<messages::PartitionReply> PeerLink::Ask(
+    const std::string& name,
+    const messages::PartitionQuery& query,
+    Duration limit) {
+  constexpr std::chrono::milliseconds kConnectPoll{5};
+  const TimePoint deadline = MonotonicNow() + limit;
+  std::future<Result<messages::PartitionReply>> future;
+  std::uint64_t correlation = 0;
+  while (true) {
+    std::unique_lock lock(this->mutex);
+    const auto client = this->ClientOf(name);
+    if (client == nullptr) {
+      return Failure(ErrorCode::kUnavailable,
+                     "entry \"" + name + "\" is not known");
+    }
+    correlation = this->next_correlation++;
+    auto& entry = this->pending[correlation];
+    entry.peer_address = client->peer_address();
+    future = entry.promise.get_future();
+    if (const auto sent = client->Send(MakeFrame(query, correlation)); sent) {
+      break;
+    }
+    this->pending.erase(correlation);
+    lock.unlock();
+    if (MonotonicNow() >= deadline) {
+      return Failure(ErrorCode::kUnavailable,
+                     "entry \"" + name + "\" is not connected");
+    }
+    std::this_thread::sleep_for(kConnectPoll);
+  }
+  if (future.wait_until(deadline) == std::future_status::ready) {
+    return future.get();
+  }
+  std::lock_guard lock(this->mutex);
+  this->pending.erase(correlation);
+  return Failure(ErrorCode::kTimeout, "entry \"" + name + "\" does not answer",
+                 Verdict::kMayHaveRun);
+}
+
+void PeerLink::Tell(const std::string& name,
+                    const messages::PartitionQuery& query) {
+  std::lock_guard lock(this->mutex);
+  if (const auto client = this->ClientOf(name)) {
+    client->Send(MakeFrame(query));
+  }
+}
+
+void PeerLink::OnServerFrame(const std::shared_ptr<Connection>& connection,
+                             const Frame& frame) {
+  if (frame.type != messages::MessageType::kPartitionQuery) {
+    return;
+  }
+  auto query = Decode<messages::PartitionQuery>(frame.body);
+  if (!query) {
+    LogEvent(Event::kFrameRejected,
+             {{"peer", connection->peer()}, {"reason", query.error().message}});
+    connection->Close(query.error().message);
+    return;
+  }
+  this->workers->Submit([this, connection, query = std::move(*query),
+                         correlation = frame.correlation] {
+    connection->Send(MakeFrame(this->on_query(query), correlation));
+  });
+}
+
+void PeerLink::OnReply(const Frame& frame) {
+  if (frame.type != messages::MessageType::kPartitionReply) {
+    return;
+  }
+  auto reply = Decode<messages::PartitionReply>(frame.body);
+  std::lock_guard lock(this->mutex);
+  const auto found = this->pending.find(frame.correlation);
+  if (found != this->pending.end()) {
+    found->second.promise.set_value(std::move(reply));
+    this->pending.erase(found);
+  }
+}
+
+void PeerLink::OnClosed(const std::string& address) {
+  std::lock_guard lock(this->mutex);
+  for (auto item = this->pending.begin(); item != this->pending.end();) {
+    if (item->second.peer_address != address) {
+      ++item;
+      continue;
+    }
+    item->second.promise.set_value(Failure(ErrorCode::kUnavailable,
+                                           "connection to the entry is lost",
+                                           Verdict::kMayHaveRun));
+    item = this->pending.erase(item);
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Entry/peer_link.h
@@ -0,0 +1,101 @@
+#ifndef ENTRY_PEER_LINK_H_
+#define ENTRY_PEER_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/result.h"
+#include "LibCore/time.h"
+#include "LibCore/worker_pool.h"
+#include "LibLedger/partition_owner.h"
+#include "LibNetwork/frame_client.h"
+#include "LibNetwork/frame_server.h"
+#include "LibNetwork/heartbeat_socket.h"
+#include "LibNetwork/io_thread.h"
+#include "LibSettings/settings.h"
+
+namespace crocus {
+
+/// Link between entries: UDP heartbeats, and queries over the internal TCP
+/// port. An entry that is not in the settings becomes known by its heartbeat.
+/// Thread-safe.
+class PeerLink {
+ public:
+  using QueryHandler =
+      std::function<messages::PartitionReply(const messages::PartitionQuery&)>;
+
+  PeerLink(IoThread& io,
+           const EntrySettings& settings,
+           std::uint64_t incarnation);
+
+  /// Opens the ports and sends heartbeats made by `heartbeat`, to which name,
+  /// incarnation and port are added. `on_query` runs on worker threads.
+  Result<void> Start(std::function<messages::Heartbeat()> heartbeat,
+                     QueryHandler on_query);
+  void Stop();
+
+  /// Entries heard so far.
+  std::vector<PeerView> peers() const;
+
+  /// Asks the entry called `name` and waits for its reply. Fails with kNotRun
+  /// if nothing was sent.
+  Result<messages::PartitionReply> Ask(const std::string& name,
+                                       const messages::PartitionQuery& query,
+                                       Duration limit);
+  /// Sends a query whose reply does not matter.
+  void Tell(const std::string& name, const messages::PartitionQuery& query);
+
+  std::uint16_t internal_port() const { return this->port; }
+
+ private:
+  struct Peer {
+    PeerView view;
+    std::string address;
+  };
+  struct Pending {
+    std::string peer_address;
+    std::promise<Result<messages::PartitionReply>> promise;
+  };
+
+  void OnHeartbeat(const messages::Heartbeat& heartbeat,
+                   const std::string& from_address);
+  void OnServerFrame(const std::shared_ptr<Connection>& connection,
+                     const Frame& frame);
+  void OnReply(const Frame& frame);
+  void OnClosed(const std::string& address);
+  void SendHeartbeats();
+  std::shared_ptr<FrameClient> ClientOf(const std::string& name);
+
+  IoThread& io;
+  const EntrySettings settings;
+  const std::uint64_t incarnation;
+  std::function<messages::Heartbeat()> make_heartbeat;
+  QueryHandler on_query;
+  std::uint16_t port = 0;
+  std::shared_ptr<FrameServer> server;
+  std::shared_ptr<HeartbeatSocket> socket;
+  boost::asio::steady_timer timer;
+  std::unique_ptr<WorkerPool> workers;
+
+  /// Guards what follows. Taken before FrameClient's lock.
+  mutable std::mutex mutex;
+  std::map<std::string, Peer> known;
+  std::map<std::string, std::shared_ptr<FrameClient>> clients;
+  std::map<std::uint64_t, Pending> pending;
+  std::uint64_t next_correlation = 1;
+  bool is_stopped = false;
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_PEER_LINK_H_
