Add routing, outlier detection, retry budgets and hedge delays

Cause: the entry chose the replica with the fewest outstanding attempts per slot. It did not see slow replicas, took no account of availability zones and regions, and had no limit on extra attempts.

Change: Router (power of two choices by expected wait from the entry's own times, zone and region latency, damped spill-over within the declared share, prefix affinity with a load bound), OutlierDetector (times relative to the median of the peers, probes, ejected share as a hard bound), RetryBudget (share of the requests of the last 10 s) and HedgePolicy (delay from the recent times). All take the time as an argument.

--- /dev/null
+++ b/Libraries/LibPolicy/hedge_policy.h
@@ -0,0 +1,60 @@
+#ifndef LIBPOLICY_HEDGE_POLICY_H_
+#define LIBPOLICY_HEDGE_POLICY_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "LibPolicy/retry_budget.h"
+#include "LibRules/rule_set.h"
+
+namespace crocus {
+
+struct HedgePolicyOptions {
+  /// Quantile of the recent times to first token after which a hedge is sent.
+  double quantile = 0.95;
+  /// The delay stays between these multiples of the recent median: with many
+  /// slowed replicas the quantile itself is slow.
+  double minimum_medians = 1.5;
+  double maximum_medians = 3;
+  /// Used until enough times were seen.
+  Duration initial_delay = std::chrono::milliseconds(500);
+  Duration minimum_delay = std::chrono::milliseconds(2);
+  std::size_t recent_times = 256;
+
+  bool operator==(const HedgePolicyOptions&) const = default;
+};
+
+/// Decides when a second attempt of a repeatable request is sent. One policy
+/// covers requests whose times are comparable, such as those of one model.
+/// Not thread-safe.
+class HedgePolicy {
+ public:
+  explicit HedgePolicy(HedgePolicyOptions options = {}) : options(options) {}
+
+  void OnRequest(TimePoint now) { this->budget.OnRequest(now); }
+  /// Time from the first dispatch of a request to its first token.
+  void OnFirstToken(Duration time);
+
+  /// Delay after the dispatch at which a hedge may be sent; nothing for a
+  /// request that must not run twice.
+  std::optional<Duration> Delay(bool is_repeatable) const;
+
+  /// Takes a hedge from the budget.
+  bool TryHedge(const BudgetRule& rule, TimePoint now) {
+    return this->budget.TryTake(rule.hedge_share, now);
+  }
+
+ private:
+  void UpdateDelay();
+
+  const HedgePolicyOptions options;
+  RetryBudget budget;
+  std::vector<Duration> times;
+  std::size_t next = 0;
+  std::optional<Duration> delay;
+};
+
+}  // namespace crocus
+
+#endif  // LIBPOLICY_HEDGE_POLICY_H_
--- /dev/null
+++ b/Libraries/LibPolicy/outlier_detector.cc
@@ -0,0 +1,179 @@
+#include "LibPolicy/outlier_detector.h"
+
+#include <algorithm>
+
+namespace crocus {
+
+namespace {
+
+/// With fewer replicas the median says nothing about what is normal.
+constexpr std::size_t kSmallestPeerGroup = 3;
+
+double MedianOf(std::vector<double> values) {
+  if (values.size() < kSmallestPeerGroup) {
+    return 0;
+  }
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
+}  // namespace
+
+void OutlierDetector::OnFirstToken(const std::string& replica,
+                                   Duration time,
+                                   TimePoint now) {
+  Observation& observation = this->observations[replica];
+  this->Add(observation.first_token, time, now);
+  observation.failures = 0;
+  this->JudgeProbe(replica,
+                   ToSeconds(time) <= this->options.return_factor *
+                                          this->last_medians.first_token);
+}
+
+void OutlierDetector::OnToken(const std::string& replica,
+                              Duration time,
+                              TimePoint now) {
+  this->Add(this->observations[replica].token, time, now);
+  if (ToSeconds(time) >
+      this->options.return_factor * this->last_medians.token) {
+    this->JudgeProbe(replica, false);
+  }
+}
+
+void OutlierDetector::OnWaiting(const std::string& replica,
+                                Duration waited,
+                                TimePoint now) {
+  Observation& observation = this->observations[replica];
+  // The time so far is only a lower bound of the time to the first token.
+  if (ToSeconds(waited) > observation.first_token.seconds) {
+    this->Add(observation.first_token, waited, now);
+  }
+}
+
+void OutlierDetector::OnFailure(const std::string& replica, TimePoint now) {
+  Observation& observation = this->observations[replica];
+  if (now - observation.failed > this->options.memory) {
+    observation.failures = 0;
+  }
+  ++observation.failures;
+  observation.failed = now;
+  this->JudgeProbe(replica, false);
+}
+
+const std::set<std::string>& OutlierDetector::Evaluate(
+    const std::vector<std::string>& replicas,
+    double ejected_share,
+    TimePoint now) {
+  this->last_medians = this->MediansOf(replicas, now);
+  const std::set<std::string> present(replicas.begin(), replicas.end());
+  std::erase_if(this->observations, [&present](const auto& item) {
+    return !present.contains(item.first);
+  });
+  std::erase_if(this->ejected_names, [&present](const std::string& name) {
+    return !present.contains(name);
+  });
+  const auto limit = static_cast<std::size_t>(
+      std::max(0.0, ejected_share) * static_cast<double>(present.size()));
+  std::vector<std::pair<double, std::string>> slow;
+  for (const auto& [name, observation] : this->observations) {
+    const double score = this->Score(observation, this->last_medians, now);
+    if (score > 1 && !this->ejected_names.contains(name)) {
+      slow.emplace_back(score, name);
+    }
+  }
+  std::sort(slow.rbegin(), slow.rend());
+  for (const auto& [score, name] : slow) {
+    if (this->ejected_names.size() >= limit) {
+      break;
+    }
+    this->ejected_names.insert(name);
+    this->observations[name].good_probes = 0;
+    this->observations[name].next_probe = now + this->options.probe_interval;
+  }
+  while (this->ejected_names.size() > limit) {
+    this->ejected_names.erase(this->ejected_names.begin());
+  }
+  return this->ejected_names;
+}
+
+std::optional<std::string> OutlierDetector::TakeProbe(TimePoint now) {
+  for (const auto& name : this->ejected_names) {
+    Observation& observation = this->observations[name];
+    if (now >= observation.next_probe) {
+      observation.next_probe = now + this->options.probe_interval;
+      return name;
+    }
+  }
+  return std::nullopt;
+}
+
+void OutlierDetector::Add(Mean& mean, Duration time, TimePoint now) const {
+  const double seconds = ToSeconds(time);
+  if (!this->IsFresh(mean, now)) {
+    mean = {.seconds = seconds, .samples = 0};
+  }
+  mean.seconds += this->options.newest_weight * (seconds - mean.seconds);
+  ++mean.samples;
+  mean.updated = now;
+}
+
+bool OutlierDetector::IsFresh(const Mean& mean, TimePoint now) const {
+  return mean.samples > 0 && now - mean.updated <= this->options.memory;
+}
+
+OutlierDetector::Medians OutlierDetector::MediansOf(
+    const std::vector<std::string>& replicas,
+    TimePoint now) const {
+  std::vector<double> first_tokens;
+  std::vector<double> tokens;
+  for (const auto& name : replicas) {
+    const auto found = this->observations.find(name);
+    if (found == this->observations.end()) {
+      continue;
+    }
+    if (this->IsFresh(found->second.first_token, now)) {
+      first_tokens.push_back(found->second.first_token.seconds);
+    }
+    if (this->IsFresh(found->second.token, now)) {
+      tokens.push_back(found->second.token.seconds);
+    }
+  }
+  return {.first_token = MedianOf(first_tokens), .token = MedianOf(tokens)};
+}
+
+double OutlierDetector::Score(const Observation& observation,
+                              const Medians& medians,
+                              TimePoint now) const {
+  double score = 0;
+  const auto add = [&](const Mean& mean, double median, double factor) {
+    if (median > 0 && this->IsFresh(mean, now) &&
+        mean.samples >= this->options.samples_before_ejection) {
+      score = std::max(score, mean.seconds / (median * factor));
+    }
+  };
+  add(observation.first_token, medians.first_token,
+      this->options.first_token_factor);
+  add(observation.token, medians.token, this->options.token_factor);
+  if (observation.failures >= this->options.failures_before_ejection &&
+      now - observation.failed <= this->options.memory) {
+    score = std::max(score, 1.0 + observation.failures);
+  }
+  return score;
+}
+
+void OutlierDetector::JudgeProbe(const std::string& replica, bool is_good) {
+  if (!this->ejected_names.contains(replica)) {
+    return;
+  }
+  Observation& observation = this->observations[replica];
+  observation.good_probes = is_good ? observation.good_probes + 1 : 0;
+  if (observation.good_probes >= this->options.good_probes_before_return) {
+    // The old means would eject it again at once.
+    observation = {};
+    this->ejected_names.erase(replica);
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibPolicy/outlier_detector.h
@@ -0,0 +1,99 @@
+#ifndef LIBPOLICY_OUTLIER_DETECTOR_H_
+#define LIBPOLICY_OUTLIER_DETECTOR_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+struct OutlierDetectorOptions {
+  /// A replica is slow if its recent time exceeds this multiple of the median
+  /// of its peers. Below 2, differences in load are taken for slowness.
+  double first_token_factor = 2.5;
+  double token_factor = 2;
+  /// A probe counts as good below this multiple.
+  double return_factor = 1.5;
+  std::uint32_t samples_before_ejection = 3;
+  std::uint32_t failures_before_ejection = 3;
+  std::uint32_t good_probes_before_return = 2;
+  /// Weight of the newest time in the running mean.
+  double newest_weight = 0.3;
+  Duration probe_interval = std::chrono::milliseconds(250);
+  /// Older observations say nothing about a replica.
+  Duration memory = std::chrono::seconds(10);
+
+  bool operator==(const OutlierDetectorOptions&) const = default;
+};
+
+/// Finds the slow or failing replicas of one endpoint from the times that the
+/// entry observes, relative to the other replicas. Not thread-safe.
+class OutlierDetector {
+ public:
+  explicit OutlierDetector(OutlierDetectorOptions options = {})
+      : options(options) {}
+
+  void OnFirstToken(const std::string& replica, Duration time, TimePoint now);
+  /// Mean time between tokens of one chunk or attempt.
+  void OnToken(const std::string& replica, Duration time, TimePoint now);
+  /// An attempt has waited this long for its first token and still waits.
+  void OnWaiting(const std::string& replica, Duration waited, TimePoint now);
+  void OnFailure(const std::string& replica, TimePoint now);
+
+  /// Replicas that get no requests except probes: never more than
+  /// `ejected_share` of `replicas`, rounded down.
+  const std::set<std::string>& Evaluate(
+      const std::vector<std::string>& replicas,
+      double ejected_share,
+      TimePoint now);
+
+  /// An ejected replica that is due for a probe; the next one is due after
+  /// the interval.
+  std::optional<std::string> TakeProbe(TimePoint now);
+
+  const std::set<std::string>& ejected() const { return this->ejected_names; }
+
+ private:
+  struct Mean {
+    double seconds = 0;
+    std::uint32_t samples = 0;
+    TimePoint updated{};
+  };
+  struct Observation {
+    Mean first_token;
+    Mean token;
+    std::uint32_t failures = 0;
+    TimePoint failed{};
+    std::uint32_t good_probes = 0;
+    TimePoint next_probe{};
+  };
+  /// Medians over the replicas; 0 if unknown.
+  struct Medians {
+    double first_token = 0;
+    double token = 0;
+  };
+
+  void Add(Mean& mean, Duration time, TimePoint now) const;
+  bool IsFresh(const Mean& mean, TimePoint now) const;
+  Medians MediansOf(const std::vector<std::string>& replicas,
+                    TimePoint now) const;
+  /// Largest of the replica's times relative to its limit; slow above 1.
+  double Score(const Observation& observation,
+               const Medians& medians,
+               TimePoint now) const;
+  void JudgeProbe(const std::string& replica, bool is_good);
+
+  const OutlierDetectorOptions options;
+  std::map<std::string, Observation> observations;
+  std::set<std::string> ejected_names;
+  Medians last_medians;
+};
+
+}  // namespace crocus
+
+#endif  // LIBPOLICY_OUTLIER_DETECTOR_H_
--- /dev/null
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -0,0 +1,49 @@
+#ifndef LIBPOLICY_RETRY_BUDGET_H_
+#define LIBPOLICY_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+struct RetryBudgetOptions {
+  /// Extra attempts that the window may hold whatever the number of requests,
+  /// so that a retry stays possible at low traffic.
+  double minimum = 1;
+
+  bool operator==(const RetryBudgetOptions&) const = default;
+};
+
+/// Limits extra attempts (retries, hedges) to a share of the requests of the
+/// last kWindowSeconds. Not thread-safe.
+class RetryBudget {
+ public:
+  static constexpr std::size_t kWindowSeconds = 10;
+
+  explicit RetryBudget(RetryBudgetOptions options = {}) : options(options) {}
+
+  /// Counts a request that a caller sent.
+  void OnRequest(TimePoint now);
+
+  /// Takes one extra attempt if the attempts taken within the window stay at
+  /// most `share` of its requests, or at the option's minimum.
+  bool TryTake(double share, TimePoint now);
+
+ private:
+  struct Bucket {
+    std::int64_t second = -1;
+    std::uint32_t requests = 0;
+    std::uint32_t taken = 0;
+  };
+
+  Bucket& BucketAt(TimePoint now);
+
+  const RetryBudgetOptions options;
+  std::array<Bucket, kWindowSeconds> buckets{};
+};
+
+}  // namespace crocus
+
+#endif  // LIBPOLICY_RETRY_BUDGET_H_
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -2,10 +2,16 @@
 #define LIBPOLICY_ROUTER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "LibCore/random.h"
+#include "LibCore/time.h"
+#include "LibRules/rule_set.h"
+
 namespace crocus {
 
 /// A replica that may take a request, as the entry sees it.
@@ -15,7 +21,13 @@
   std::string availability_zone;
   std::string region;
   std::uint32_t slots = 0;
+  /// Attempts of this entry that have not ended.
   std::uint32_t outstanding = 0;
+  /// Online requests of all entries, running and waiting, in the last report.
+  std::uint32_t reported_online = 0;
+  /// `outstanding` when the report came.
+  std::uint32_t outstanding_at_report = 0;
+  TimePoint reported{};
 
   bool operator==(const RouteCandidate&) const = default;
 };
@@ -25,6 +37,132 @@
 std::optional<std::size_t> ChooseLeastOutstanding(
     const std::vector<RouteCandidate>& candidates);
 
+struct RouterOptions {
+  std::string availability_zone;
+  std::string region;
+  /// Round trips to another availability zone of the region and to another
+  /// region, from the latencies that the platform states.
+  Duration zone_round_trip = std::chrono::milliseconds(2);
+  Duration region_round_trip = std::chrono::milliseconds(12);
+  /// Assumed for a replica with no recent times.
+  Duration initial_first_token = std::chrono::milliseconds(50);
+  Duration initial_service = std::chrono::milliseconds(500);
+  /// The share of other entries' load that a report still says decays to zero
+  /// within this time.
+  Duration report_memory = std::chrono::seconds(5);
+  Duration observation_memory = std::chrono::seconds(10);
+  /// A replica that refused is avoided for this long, if it named no time.
+  Duration refusal_memory = std::chrono::milliseconds(500);
+  /// Prompts shorter than this gain nothing from a cached prefix.
+  std::size_t shortest_prefix_bytes = 128;
+  std::size_t prefix_bytes = 256;
+  /// A prefix's replica is used up to this multiple of the mean load.
+  double affinity_load_bound = 1.25;
+  /// Time constant over which the gain of another region is smoothed.
+  Duration spill_smoothing = std::chrono::seconds(2);
+  /// Time in which a region that refused gets its whole share back.
+  Duration spill_recovery = std::chrono::seconds(10);
+  std::size_t cache_hints = 4096;
+
+  bool operator==(const RouterOptions&) const = default;
+};
+
+struct RouteRequest {
+  std::string_view prompt;
+  std::uint32_t max_tokens = 0;
+};
+
+/// Chooses the replica of an online request. Not thread-safe.
+class Router {
+ public:
+  Router(RouterOptions options, std::uint64_t seed)
+      : options(std::move(options)), random(seed) {}
+
+  /// Index of the chosen candidate; nothing if there is none in the region
+  /// and the rules allow no other region, or its share is used up.
+  std::optional<std::size_t> Choose(
+      const std::vector<RouteCandidate>& candidates,
+      const RouteRequest& request,
+      const RuleSet& rules,
+      TimePoint now);
+
+  void OnFirstToken(const std::string& replica, Duration time, TimePoint now);
+  void OnToken(const std::string& replica, Duration time, TimePoint now);
+  /// Time from dispatch to the end of an attempt.
+  void OnFinished(const std::string& replica, Duration time, TimePoint now);
+  /// The replica refused as not run. `retry_after` of 0 names no time.
+  void OnRefused(const RouteCandidate& candidate,
+                 Duration retry_after,
+                 TimePoint now);
+  /// A late and incomplete hint that the replica has this prefix cached.
+  void OnCacheHint(std::uint64_t prefix, const std::string& replica);
+  std::uint64_t PrefixOf(std::string_view prompt) const;
+
+  /// Expected time to the first token, without the network.
+  Duration ExpectedWait(const RouteCandidate& candidate, TimePoint now) const;
+
+ private:
+  struct Mean {
+    double seconds = 0;
+    TimePoint updated{};
+  };
+  struct Observation {
+    std::optional<Mean> first_token;
+    std::optional<Mean> token;
+    std::optional<Mean> service;
+    TimePoint avoided_until{};
+  };
+  /// Spill-over to one region.
+  struct Spill {
+    double smoothed_gain = 0;
+    TimePoint updated{};
+    /// Requests that may go there now; grows by the share of each request.
+    double credit = 1;
+    /// Share of the declared share that is in use; halved by a refusal.
+    double openness = 1;
+  };
+  using Indices = std::vector<std::size_t>;
+
+  void Add(std::optional<Mean>& mean, Duration time, TimePoint now) const;
+  double Seconds(const std::optional<Mean>& mean,
+                 Duration fallback,
+                 TimePoint now) const;
+  double LoadOf(const RouteCandidate& candidate, TimePoint now) const;
+  double CostOf(const RouteCandidate& candidate,
+                const RouteRequest& request,
+                TimePoint now) const;
+  std::optional<std::size_t> ChooseOfTwo(
+      const std::vector<RouteCandidate>& candidates,
+      const Indices& indices,
+      const RouteRequest& request,
+      TimePoint now);
+  std::optional<std::size_t> ChooseLocal(
+      const std::vector<RouteCandidate>& candidates,
+      const RouteRequest& request,
+      TimePoint now);
+  std::optional<std::size_t> ChooseByPrefix(
+      const std::vector<RouteCandidate>& candidates,
+      const Indices& local,
+      const RouteRequest& request,
+      TimePoint now) const;
+  std::optional<std::size_t> ChooseSpill(
+      const std::vector<RouteCandidate>& candidates,
+      std::optional<std::size_t> local,
+      const RouteRequest& request,
+      const RuleSet& rules,
+      TimePoint now);
+  bool TakeSpill(Spill& spill,
+                 const SpillRule& rule,
+                 std::optional<double> gain,
+                 TimePoint now);
+
+  const RouterOptions options;
+  Random random;
+  std::map<std::string, Observation> observations;
+  std::map<std::string, Spill> spills;
+  std::map<std::uint64_t, std::string> hints;
+};
+
 }  // namespace crocus
 
 #endif  // LIBPOLICY_ROUTER_H_
--- /dev/null
+++ b/Tests/LibPolicy/outlier_detector_test.cc
@@ -0,0 +1,100 @@
+#include "LibPolicy/outlier_detector.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+namespace crocus {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+std::vector<std::string> Names(int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i) {
+    names.push_back("r" + std::to_string(i));
+  }
+  return names;
+}
+
+}  // namespace
+
+TEST_GROUP(OutlierDetector_AnyTimes){};
+
+// Guards against ejecting more than the declared share when many replicas
+// look slow or fail at once, also while replicas come and go.
+TEST(OutlierDetector_AnyTimes, EjectedShareIsNeverExceeded) {
+  CHECK(rc::check([] {
+    OutlierDetector detector;
+    const double share = *rc::gen::inRange(0, 100) / 100.0;
+    TimePoint now = kStart;
+    for (int step = 0; step < 60; ++step) {
+      const auto names = Names(*rc::gen::inRange(1, 20));
+      now += milliseconds(*rc::gen::inRange(0, 500));
+      for (const auto& name : names) {
+        const Duration time = milliseconds(*rc::gen::inRange(1, 2000));
+        if (*rc::gen::inRange(0, 4) == 0) {
+          detector.OnFailure(name, now);
+        } else {
+          detector.OnFirstToken(name, time, now);
+          detector.OnToken(name, time / 10, now);
+        }
+      }
+      detector.TakeProbe(now);
+      const auto& ejected = detector.Evaluate(names, share, now);
+      RC_ASSERT(static_cast<double>(ejected.size()) <=
+                share * static_cast<double>(names.size()));
+    }
+  }));
+}
+
+TEST_GROUP(OutlierDetector_TwoSlowOfEighteen) {
+  OutlierDetector detector;
+  const std::vector<std::string> names = Names(18);
+
+  void Observe(TimePoint now, int slowdown) {
+    for (const auto& name : this->names) {
+      const bool is_slow = name == "r3" || name == "r7";
+      this->detector.OnFirstToken(
+          name, milliseconds(20 * (is_slow ? slowdown : 1)), now);
+    }
+  }
+};
+
+// Guards against slowed replicas that keep receiving requests.
+TEST(OutlierDetector_TwoSlowOfEighteen, BothAreEjectedAfterAFewTimes) {
+  for (int i = 0; i < 10; ++i) {
+    this->Observe(kStart, 1);
+  }
+  CHECK(this->detector.Evaluate(this->names, 0.2, kStart).empty());
+  for (int i = 0; i < 6; ++i) {
+    this->Observe(kStart + milliseconds(i), 5);
+  }
+  const std::set<std::string> expected = {"r3", "r7"};
+  CHECK(this->detector.Evaluate(this->names, 0.2, kStart + milliseconds(9)) ==
+        expected);
+}
+
+// Guards against a replica that stays ejected after it has recovered.
+TEST(OutlierDetector_TwoSlowOfEighteen, GoodProbesReturnThem) {
+  for (int i = 0; i < 6; ++i) {
+    this->Observe(kStart, 5);
+  }
+  TimePoint now = kStart;
+  this->detector.Evaluate(this->names, 0.2, now);
+  CHECK_FALSE(this->detector.TakeProbe(now).has_value());
+  int probes = 0;
+  while (!this->detector.ejected().empty() && probes < 10) {
+    now += milliseconds(300);
+    const auto probed = this->detector.TakeProbe(now);
+    CHECK(probed.has_value());
+    this->detector.OnFirstToken(*probed, milliseconds(20), now);
+    this->detector.Evaluate(this->names, 0.2, now);
+    ++probes;
+  }
+  CHECK_EQUAL(4, probes);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibPolicy/router_test.cc
@@ -0,0 +1,132 @@
+#include "LibPolicy/router.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+namespace crocus {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+RouteCandidate MakeCandidate(const std::string& replica,
+                             const std::string& region,
+                             std::uint32_t outstanding) {
+  return {.daemon = "d-" + replica,
+          .replica = replica,
+          .availability_zone = region + "-1",
+          .region = region,
+          .slots = 8,
+          .outstanding = outstanding};
+}
+
+RuleSet RulesWithSpill(double share) {
+  RuleSet rules;
+  rules.spills[{"here", "there"}] = {
+      .minimum_gain = std::chrono::milliseconds(100), .maximum_share = share};
+  return rules;
+}
+
+RouterOptions Options() {
+  return {.availability_zone = "here-1", .region = "here"};
+}
+
+}  // namespace
+
+TEST_GROUP(Router_AnyLoad){};
+
+// Guards against spill-over above the declared share, whatever the load says.
+TEST(Router_AnyLoad, SpilledRequestsStayWithinTheShare) {
+  CHECK(rc::check([] {
+    const double share = *rc::gen::inRange(0, 100) / 100.0;
+    const bool has_local = *rc::gen::arbitrary<bool>();
+    Router router(Options(), *rc::gen::arbitrary<std::uint64_t>());
+    double spilled = 0;
+    const int requests = *rc::gen::inRange(1, 300);
+    for (int i = 0; i < requests; ++i) {
+      std::vector<RouteCandidate> candidates = {
+          MakeCandidate("far", "there", *rc::gen::inRange(0, 20))};
+      if (has_local) {
+        candidates.push_back(
+            MakeCandidate("near", "here", *rc::gen::inRange(0, 200)));
+      }
+      const auto chosen = router.Choose(
+          candidates, {.prompt = "x", .max_tokens = 4}, RulesWithSpill(share),
+          kStart + i * std::chrono::milliseconds(50));
+      RC_ASSERT(!has_local || chosen);
+      spilled += chosen && *chosen == 0 ? 1 : 0;
+    }
+    RC_ASSERT(spilled <= 1 + share * requests);
+  }));
+}
+
+// Guards against traffic that leaves the region although nothing is gained,
+// and against spill-over that the rules do not name.
+TEST(Router_AnyLoad, NothingSpillsWithoutGainOrRule) {
+  CHECK(rc::check([](std::uint64_t seed, bool has_rule) {
+    Router router(Options(), seed);
+    const RuleSet rules = has_rule ? RulesWithSpill(1) : RuleSet{};
+    const std::uint32_t local_load = has_rule ? 7 : 100;
+    for (int i = 0; i < 100; ++i) {
+      const auto chosen =
+          router.Choose({MakeCandidate("far", "there", 0),
+                         MakeCandidate("near", "here", local_load)},
+                        {.prompt = "x", .max_tokens = 4}, rules,
+                        kStart + i * std::chrono::milliseconds(50));
+      RC_ASSERT(chosen == std::optional<std::size_t>(1));
+    }
+  }));
+}
+
+// Guards against a hot prefix that overloads the replica that has it cached.
+TEST(Router_AnyLoad, PrefixAffinityKeepsTheLoadBound) {
+  CHECK(rc::check([](std::uint64_t seed) {
+    Router router(Options(), seed);
+    std::vector<RouteCandidate> candidates;
+    for (int i = 0; i < 6; ++i) {
+      candidates.push_back(MakeCandidate("r" + std::to_string(i), "here", 0));
+    }
+    const std::string prompt(512, 'p');
+    constexpr std::uint32_t kRequests = 36;
+    for (std::uint32_t i = 0; i < kRequests; ++i) {
+      const auto chosen = router.Choose(
+          candidates, {.prompt = prompt, .max_tokens = 4}, {}, kStart);
+      ++candidates[*chosen].outstanding;
+    }
+    for (const auto& candidate : candidates) {
+      RC_ASSERT(candidate.outstanding <= kRequests / 6 * 2);
+    }
+  }));
+}
+
+TEST_GROUP(Router_SlowReplica){};
+
+// Guards against trusting a late report more than the entry's own times: the
+// report says idle while the observed first tokens are ten times slower.
+TEST(Router_SlowReplica, OwnTimesOutweighTheLateReport) {
+  Router router(Options(), 1);
+  std::vector<RouteCandidate> candidates = {MakeCandidate("fast", "here", 2),
+                                            MakeCandidate("slow", "here", 0)};
+  for (int i = 0; i < 5; ++i) {
+    router.OnFirstToken("fast", std::chrono::milliseconds(20), kStart);
+    router.OnFirstToken("slow", std::chrono::milliseconds(200), kStart);
+  }
+  for (int i = 0; i < 50; ++i) {
+    CHECK_EQUAL(0u, *router.Choose(candidates, {.prompt = "x", .max_tokens = 4},
+                                   {}, kStart));
+  }
+}
+
+// Guards against sending on to a replica that has just refused.
+TEST(Router_SlowReplica, RefusingReplicaIsAvoided) {
+  Router router(Options(), 1);
+  const std::vector<RouteCandidate> candidates = {
+      MakeCandidate("busy", "here", 7), MakeCandidate("leaving", "here", 0)};
+  router.OnRefused(candidates[1], Duration(0), kStart);
+  CHECK_EQUAL(0u, *router.Choose(candidates, {.prompt = "x", .max_tokens = 4},
+                                 {}, kStart));
+  CHECK_EQUAL(1u, *router.Choose(candidates, {.prompt = "x", .max_tokens = 4},
+                                 {}, kStart + std::chrono::seconds(1)));
+}
+
+}  // namespace crocus
