Add a group-commit writer for log streams

Cause: appends were sent one by one, and a lost reply left the outcome unknown.

One append is in flight at a time. Its id is a unique name and a number that goes up. An append that was certainly not run returns to the queue, so its entries can be withdrawn.

Conclusion: every entry has one effect and reaches the log in order.

--- /dev/null
+++ b/Libraries/LibLedger/append_queue.cc
@@ -0,0 +1,208 @@
+#include "LibLedger/append_queue.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "LibCore/assertions.h"
+#include "LibMessages/codec.h"
+
+namespace crocus {
+
+AppendQueue::AppendQueue(AppendQueueOptions options,
+                         std::string name,
+                         std::uint64_t seed)
+    : options(std::move(options)), name(std::move(name)), random(seed) {}
+
+Result<void> AppendQueue::Add(std::uint64_t token,
+                              records::Envelope envelope,
+                              TimePoint now) {
+  if (!this->waiting.empty() &&
+      this->bytes + envelope.body.size() > this->options.queue_bytes) {
+    return Failure(ErrorCode::kUnavailable, "log: the append queue is full");
+  }
+  this->bytes += envelope.body.size();
+  this->waiting.push_back(
+      {.token = token, .envelope = std::move(envelope), .added = now});
+  return {};
+}
+
+bool AppendQueue::Withdraw(std::uint64_t token) {
+  const auto found = std::find_if(
+      this->waiting.begin(), this->waiting.end(),
+      [token](const Entry& entry) { return entry.token == token; });
+  if (found == this->waiting.end()) {
+    return false;
+  }
+  this->bytes -= found->envelope.body.size();
+  this->waiting.erase(found);
+  return true;
+}
+
+bool AppendQueue::IsDue(TimePoint now) const {
+  if (this->is_flushing ||
+      this->waiting.front().added + this->options.delay <= now) {
+    return true;
+  }
+  std::size_t size = 0;
+  for (const auto& entry : this->waiting) {
+    size += entry.envelope.body.size();
+    if (size >= this->options.append_bytes) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void AppendQueue::FormAppend() {
+  records::Append append{
+      .id = this->name + "." + std::to_string(this->next_sequence++),
+      .writer = this->options.writer,
+      .records = {}};
+  std::size_t size = 0;
+  while (!this->waiting.empty()) {
+    auto& entry = this->waiting.front();
+    size += entry.envelope.body.size();
+    if (!append.records.empty() && size > this->options.append_bytes) {
+      break;
+    }
+    append.records.push_back(entry.envelope);
+    this->sent.push_back(std::move(entry));
+    this->waiting.pop_front();
+  }
+  this->id = append.id;
+  this->data = Encode(append);
+}
+
+AppendStep AppendQueue::Next(TimePoint now) {
+  if (this->is_empty()) {
+    this->is_flushing = false;
+    return {};
+  }
+  if (now < this->not_before) {
+    return {.until = this->not_before};
+  }
+  if (this->state == State::kSettling) {
+    return {.kind = AppendStep::Kind::kRead,
+            .from = this->read_from,
+            .limit = this->options.page_records};
+  }
+  VERIFY(this->state == State::kIdle);
+  if (this->position == 0) {
+    // A read past the end gives the position before the first append.
+    return {.kind = AppendStep::Kind::kRead,
+            .from = std::numeric_limits<std::uint64_t>::max(),
+            .limit = 1};
+  }
+  if (this->sent.empty()) {
+    if (!this->IsDue(now)) {
+      return {.until = this->waiting.front().added + this->options.delay};
+    }
+    this->FormAppend();
+  }
+  this->state = State::kAppending;
+  return {.kind = AppendStep::Kind::kAppend, .data = this->data};
+}
+
+std::vector<AppendedEntry> AppendQueue::OnAppend(
+    const Result<std::uint64_t>& outcome,
+    TimePoint now) {
+  VERIFY(this->state == State::kAppending);
+  if (outcome) {
+    return this->Settle(*outcome);
+  }
+  this->BackOff(now);
+  if (outcome.error().verdict == Verdict::kNotRun && !this->is_uncertain) {
+    this->state = State::kIdle;
+    while (!this->sent.empty()) {
+      this->waiting.push_front(std::move(this->sent.back()));
+      this->sent.pop_back();
+    }
+    return {};
+  }
+  this->is_uncertain = true;
+  this->state = State::kSettling;
+  this->read_from = this->position;
+  this->reads_without = 0;
+  return {};
+}
+
+std::vector<AppendedEntry> AppendQueue::OnRead(const Result<LogPage>& page,
+                                               TimePoint now) {
+  if (!page) {
+    this->BackOff(now);
+    return {};
+  }
+  this->failures = 0;
+  if (this->state == State::kIdle) {
+    this->position = page->next;
+    return {};
+  }
+  VERIFY(this->state == State::kSettling);
+  for (const auto& record : page->records) {
+    const auto append = Decode<records::Append>(record.data);
+    if (append && append->id == this->id) {
+      return this->Settle(record.offset);
+    }
+    this->read_from = record.offset + 1;
+  }
+  if (this->read_from < page->next && !page->records.empty()) {
+    return {};
+  }
+  // The records may become visible late, so the next read starts over.
+  this->read_from = this->position;
+  this->not_before = now + this->options.settle_delay;
+  if (++this->reads_without >= this->options.settle_reads) {
+    this->state = State::kIdle;
+  }
+  return {};
+}
+
+std::vector<AppendedEntry> AppendQueue::Settle(std::uint64_t offset) {
+  std::vector<AppendedEntry> settled;
+  for (const auto& entry : this->sent) {
+    settled.push_back({.token = entry.token, .offset = offset});
+    this->bytes -= entry.envelope.body.size();
+  }
+  this->sent.clear();
+  this->data.clear();
+  this->position = std::max(this->position, offset + 1);
+  this->state = State::kIdle;
+  this->is_uncertain = false;
+  this->failures = 0;
+  this->not_before = {};
+  return settled;
+}
+
+void AppendQueue::BackOff(TimePoint now) {
+  constexpr std::uint32_t kLargestShift = 16;
+  const auto limit =
+      std::min(this->options.maximum_retry_delay,
+               this->options.first_retry_delay *
+                   (1 << std::min(this->failures, kLargestShift)));
+  ++this->failures;
+  // Half of the delay is random, so that writers do not return in step.
+  const auto half = limit.count() / 2;
+  this->not_before =
+      now + Duration(half + static_cast<Duration::rep>(
+                                this->random.Below(static_cast<std::uint64_t>(
+                                    limit.count() - half + 1))));
+}
+
+std::vector<std::uint64_t> AppendQueue::tokens() const {
+  std::vector<std::uint64_t> all;
+  for (const auto* list : {&this->sent, &this->waiting}) {
+    for (const auto& entry : *list) {
+      all.push_back(entry.token);
+    }
+  }
+  return all;
+}
+
+bool AppendQueue::MayBeInLog(std::uint64_t token) const {
+  return std::any_of(
+      this->sent.begin(), this->sent.end(),
+      [token](const Entry& entry) { return entry.token == token; });
+}
+
+}  // namespace crocus
