Add admission of online requests

Cause: the entry took on every request, whatever the limits of its workspace, the load, or the caller's patience.

Change: Admission refuses before the dispatch: request and token rate and concurrency of a workspace (this entry's part of them), weighted shares of workspace and class from the load at which all slots are taken, and patience below the expected wait. Every refusal has a reason and a retry-after.

--- /dev/null
+++ b/Libraries/LibPolicy/admission.cc
@@ -0,0 +1,157 @@
+#include "LibPolicy/admission.h"
+
+#include <algorithm>
+
+#include "LibCore/assertions.h"
+
+namespace crocus {
+
+namespace {
+
+/// Callers choose the names of workspaces and classes, so idle ones are
+/// forgotten beyond this number.
+constexpr std::size_t kRememberedNames = 4096;
+
+WorkspaceRule FindWorkspaceRule(const RuleSet& rules,
+                                const std::string& workspace) {
+  const auto found = rules.workspaces.find(workspace);
+  return found == rules.workspaces.end() ? WorkspaceRule{} : found->second;
+}
+
+double WeightOf(const RuleSet& rules,
+                const std::string& workspace,
+                const std::string& request_class) {
+  return FindWorkspaceRule(rules, workspace).share *
+         FindClassRule(rules, workspace, request_class).share;
+}
+
+}  // namespace
+
+ClassRule FindClassRule(const RuleSet& rules,
+                        const std::string& workspace,
+                        const std::string& request_class) {
+  for (const auto& name : {workspace, std::string("*")}) {
+    if (const auto found = rules.classes.find({name, request_class});
+        found != rules.classes.end()) {
+      return found->second;
+    }
+  }
+  return {};
+}
+
+std::optional<AdmissionRefusal> Admission::Admit(
+    const AdmissionRequest& request,
+    const AdmissionLoad& load,
+    const RuleSet& rules,
+    TimePoint now) {
+  if (load.expected_wait > request.patience) {
+    return AdmissionRefusal{
+        .reason = "patience_too_short",
+        .retry_after = load.expected_wait - request.patience};
+  }
+  this->ForgetIdle(now);
+  const ShareKey key{request.model, request.workspace, request.request_class};
+  this->shares[key].seen = now;
+  if (load.outstanding >= this->options.overload_load * load.slots &&
+      this->ExceedsShare(key, load, rules, now)) {
+    return AdmissionRefusal{.reason = "overloaded",
+                            .retry_after = this->options.retry_after};
+  }
+  // Last, because it takes tokens from the buckets.
+  if (auto refusal = this->CheckLimits(request, rules, now)) {
+    return refusal;
+  }
+  ++this->workspaces[request.workspace].running;
+  ++this->shares[key].running;
+  return std::nullopt;
+}
+
+void Admission::Finish(const AdmissionRequest& request, TimePoint now) {
+  Workspace& workspace = this->workspaces[request.workspace];
+  ShareState& share =
+      this->shares[{request.model, request.workspace, request.request_class}];
+  VERIFY(workspace.running > 0 && share.running > 0);
+  --workspace.running;
+  --share.running;
+  share.seen = now;
+}
+
+void Admission::ForgetIdle(TimePoint now) {
+  if (this->shares.size() > kRememberedNames) {
+    std::erase_if(this->shares, [this, now](const auto& item) {
+      return item.second.running == 0 &&
+             now - item.second.seen > this->options.activity_memory;
+    });
+  }
+  if (this->workspaces.size() > kRememberedNames) {
+    std::erase_if(this->workspaces, [this, now](const auto& item) {
+      return item.second.running == 0 &&
+             now - item.second.requests.updated > this->options.activity_memory;
+    });
+  }
+}
+
+void Admission::Fill(Bucket& bucket, double rate, TimePoint now) const {
+  const double largest = std::max(1.0, rate * this->options.burst_seconds);
+  const double gained = ToSeconds(now - bucket.updated) * rate;
+  bucket.level =
+      bucket.is_started ? std::min(largest, bucket.level + gained) : largest;
+  bucket.updated = now;
+  bucket.is_started = true;
+}
+
+std::optional<AdmissionRefusal> Admission::CheckLimits(
+    const AdmissionRequest& request,
+    const RuleSet& rules,
+    TimePoint now) {
+  const WorkspaceRule rule = FindWorkspaceRule(rules, request.workspace);
+  Workspace& workspace = this->workspaces[request.workspace];
+  const double share = this->options.entry_share;
+  if (rule.concurrent_requests > 0 &&
+      workspace.running >= std::max(1.0, rule.concurrent_requests * share)) {
+    return AdmissionRefusal{.reason = "concurrency_limit",
+                            .retry_after = this->options.retry_after};
+  }
+  const double request_rate = rule.requests_per_second * share;
+  const double token_rate = rule.tokens_per_second * share;
+  this->Fill(workspace.requests, request_rate, now);
+  this->Fill(workspace.tokens, token_rate, now);
+  if (request_rate > 0 && workspace.requests.level < 1) {
+    return AdmissionRefusal{.reason = "request_rate",
+                            .retry_after = FromSeconds(
+                                (1 - workspace.requests.level) / request_rate)};
+  }
+  // A request larger than the burst is admitted from a positive level and
+  // leaves a debt, so that it is not refused for ever.
+  if (token_rate > 0 && workspace.tokens.level <= 0) {
+    return AdmissionRefusal{
+        .reason = "token_rate",
+        .retry_after = FromSeconds((1 - workspace.tokens.level) / token_rate)};
+  }
+  workspace.requests.level -= request_rate > 0 ? 1 : 0;
+  workspace.tokens.level -= token_rate > 0 ? request.max_tokens : 0;
+  return std::nullopt;
+}
+
+bool Admission::ExceedsShare(const ShareKey& key,
+                             const AdmissionLoad& load,
+                             const RuleSet& rules,
+                             TimePoint now) {
+  std::erase_if(this->shares, [this, now](const auto& item) {
+    return item.second.running == 0 &&
+           now - item.second.seen > this->options.activity_memory;
+  });
+  double total = 0;
+  for (const auto& [other, state] : this->shares) {
+    if (std::get<0>(other) == std::get<0>(key)) {
+      total += WeightOf(rules, std::get<1>(other), std::get<2>(other));
+    }
+  }
+  const double weight = WeightOf(rules, std::get<1>(key), std::get<2>(key));
+  const double allowed =
+      this->options.overload_load * load.slots * weight / total;
+  // One request is always possible: a small share must not starve.
+  return this->shares[key].running >= std::max(1.0, allowed);
+}
+
+}  // namespace crocus
