Replay intents and results of online requests

Cause: nothing decided between two entries that receive the same keyed request, and results were readable only at the entry that had them.

Change: RequestLedger replays the stream `requests`. The first intent of a request is valid; a not-run result of its attempt frees the request; the first other result is final. It keeps offsets, not texts. A request is forgotten after a number of appends, not after a time, so that every process forgets at the same offset, no clock decides, and a new process knows where to start reading. Beyond a limit, plain results are forgotten before intents. The records of intents and results get the fields that this needs, and the settings and events of online requests are declared.

--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -25,6 +25,20 @@
       return "request_finished";
     case Event::kCallerLeft:
       return "caller_left";
+    case Event::kRequestRetried:
+      return "request_retried";
+    case Event::kRequestHedged:
+      return "request_hedged";
+    case Event::kResultDropped:
+      return "result_dropped";
+    case Event::kShutdownStep:
+      return "shutdown_step";
+    case Event::kResultTakenOver:
+      return "result_taken_over";
+    case Event::kRequestAttached:
+      return "request_attached";
+    case Event::kIntentLost:
+      return "intent_lost";
     case Event::kAttemptStarted:
       return "attempt_started";
     case Event::kAttemptFinished:
@@ -47,6 +61,10 @@
       return "partition_lost";
     case Event::kJobFinished:
       return "job_finished";
+    case Event::kReplicaEjected:
+      return "replica_ejected";
+    case Event::kReplicaReturned:
+      return "replica_returned";
   }
   return "unknown";
 }
@@ -54,6 +72,7 @@
 Severity EventSeverity(Event event) {
   switch (event) {
     case Event::kRequestFinished:
+    case Event::kRequestHedged:
     case Event::kAttemptStarted:
     case Event::kAttemptFinished:
       return Severity::kDebug;
@@ -62,21 +81,29 @@
     case Event::kConnectionOpened:
     case Event::kRequestRefused:
     case Event::kCallerLeft:
+    case Event::kRequestRetried:
+    case Event::kShutdownStep:
+    case Event::kResultTakenOver:
+    case Event::kRequestAttached:
+    case Event::kIntentLost:
     case Event::kAttemptRefused:
     case Event::kDraining:
     case Event::kRulesInForce:
     case Event::kJobAccepted:
     case Event::kPartitionClaimed:
     case Event::kJobFinished:
+    case Event::kReplicaReturned:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
     case Event::kAppendUnknown:
     case Event::kLogUnavailable:
     case Event::kPartitionLost:
+    case Event::kReplicaEjected:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
+    case Event::kResultDropped:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -21,6 +21,13 @@
   kRequestRefused = 200,
   kRequestFinished = 201,
   kCallerLeft = 202,
+  kRequestRetried = 203,
+  kRequestHedged = 204,
+  kResultDropped = 205,
+  kShutdownStep = 206,
+  kResultTakenOver = 207,
+  kRequestAttached = 208,
+  kIntentLost = 209,
   kAttemptStarted = 300,
   kAttemptFinished = 301,
   kAttemptRefused = 302,
@@ -32,6 +39,8 @@
   kPartitionClaimed = 501,
   kPartitionLost = 502,
   kJobFinished = 503,
+  kReplicaEjected = 600,
+  kReplicaReturned = 601,
 };
 
 /// Returns the event's name in the catalogue, such as "entry_started".
--- /dev/null
+++ b/Libraries/LibLedger/request_ledger.h
@@ -0,0 +1,118 @@
+#ifndef LIBLEDGER_REQUEST_LEDGER_H_
+#define LIBLEDGER_REQUEST_LEDGER_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "LibMessages/records.h"
+
+namespace crocus {
+
+struct RequestLedgerOptions {
+  /// A request is remembered until this many appends follow its last record.
+  /// Counted in appends, so that every process forgets at the same offset and
+  /// no clock decides.
+  std::uint64_t kept_appends = 240000;
+  /// Results without an intent that are remembered; the oldest go first.
+  std::size_t plain_results = 1000000;
+
+  bool operator==(const RequestLedgerOptions&) const = default;
+};
+
+enum class RequestState {
+  /// An intent is in the log and no result: it may have run.
+  kIntended,
+  kFinished,
+};
+
+/// What the log says about a request.
+struct LoggedRequest {
+  RequestState state = RequestState::kIntended;
+  /// Offset of the append with the intent or, once finished, the result.
+  std::uint64_t offset = 0;
+  std::uint64_t digest = 0;
+  /// Owner of the valid intent, while the state is kIntended.
+  std::string owner;
+  std::uint64_t owner_incarnation = 0;
+  std::string attempt;
+
+  bool operator==(const LoggedRequest&) const = default;
+};
+
+/// Deterministic replay of the stream `requests`.
+///
+/// The first intent of a request is valid; later ones change nothing until a
+/// result with the verdict kNotRun and the valid intent's attempt frees the
+/// request again. The first other result is final. Records are valid or not by
+/// their order alone, so a repeated append has no effect and no ids of appends
+/// are kept. Result texts stay in the log; the ledger keeps their offsets.
+class RequestLedger {
+ public:
+  explicit RequestLedger(RequestLedgerOptions options) : options(options) {}
+
+  /// Applies the append at `offset`; offsets must go up. A gap means that the
+  /// head of the log was trimmed. Appends that do not decode change nothing.
+  void Apply(std::uint64_t offset, std::string_view data);
+
+  std::optional<LoggedRequest> Find(const std::string& request) const;
+
+  /// Offset after the last applied append; 0 before the first.
+  std::uint64_t next_offset() const { return this->next; }
+  /// Offset from which a new replay must start to remember the same requests.
+  static std::uint64_t StartOffset(const RequestLedgerOptions& options,
+                                   std::uint64_t first,
+                                   std::uint64_t next);
+  std::size_t size() const { return this->items.size(); }
+
+ private:
+  /// 128-bit hash of the request id; ids are chosen by callers in part, and
+  /// their length must not decide about the memory.
+  struct Key {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Intent {
+    std::string owner;
+    std::uint64_t owner_incarnation = 0;
+    std::string attempt;
+  };
+  struct Item {
+    std::uint64_t offset = 0;
+    std::uint64_t digest = 0;
+    bool is_plain = false;
+    /// Null once finished.
+    std::unique_ptr<Intent> intent;
+  };
+
+  static Key KeyOf(const std::string& request);
+  void OnIntent(std::uint64_t offset, const records::RequestIntent& intent);
+  void OnResult(std::uint64_t offset, const records::RequestResult& result);
+  void Forget();
+
+  const RequestLedgerOptions options;
+  std::uint64_t next = 0;
+  std::map<Key, Item> items;
+  /// In the order of offsets; entries whose item has moved on are skipped.
+  std::deque<std::pair<std::uint64_t, Key>> order;
+  std::deque<std::pair<std::uint64_t, Key>> plain_order;
+};
+
+/// Returns the result of `request` in the append `data`, if it has one.
+std::optional<records::RequestResult> ResultIn(std::string_view data,
+                                               const std::string& request);
+
+/// Stem that the ids of all attempts of one intent share.
+std::string AttemptStem(const std::string& attempt);
+
+}  // namespace crocus
+
+#endif  // LIBLEDGER_REQUEST_LEDGER_H_
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -280,13 +280,17 @@
   std::string workspace{};
   /// Entry that dispatches it.
   std::string owner{};
+  /// Stem of the ids of its attempts, unique for each intent.
   std::string attempt{};
+  std::uint64_t owner_incarnation{0};
+  /// XXH3 of the request's content.
+  std::uint64_t digest{0};
 
   bool operator==(const RequestIntent&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(request, workspace, owner, attempt);
+    archive(request, workspace, owner, attempt, owner_incarnation, digest);
   }
 };
 
@@ -301,13 +305,18 @@
   std::string reason{};
   std::uint32_t token_count{0};
   std::int64_t finished_ms{0};
+  /// Stem of the attempt's id; empty if there was no intent.
+  std::string attempt{};
+  std::string model{};
+  /// XXH3 of the request's content.
+  std::uint64_t digest{0};
 
   bool operator==(const RequestResult&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(request, workspace, verdict, text, reason, token_count,
-            finished_ms);
+    archive(request, workspace, verdict, text, reason, token_count, finished_ms,
+            attempt, model, digest);
   }
 };
 
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -61,6 +61,42 @@
   reader.Read("batch", "commit_bytes",
               {.required = false, .minimum = 1024, .maximum = 16777216},
               settings.batch.commit_bytes);
+  reader.Read("online", "attempts",
+              {.required = false, .minimum = 1, .maximum = 16},
+              settings.online.attempts);
+  reader.Read("online", "revoke_wait",
+              {.required = false, .minimum = 0, .maximum = 10000},
+              settings.online.revoke_wait);
+  reader.Read("online", "intent_wait",
+              {.required = false, .minimum = 1, .maximum = 60000},
+              settings.online.intent_wait);
+  reader.Read("online", "commit_delay",
+              {.required = false, .minimum = 1, .maximum = 10000},
+              settings.online.commit_delay);
+  reader.Read("online", "commit_bytes",
+              {.required = false, .minimum = 1024, .maximum = 16777216},
+              settings.online.commit_bytes);
+  reader.Read("online", "held_result_bytes",
+              {.required = false, .minimum = 65536, .maximum = 17179869184},
+              settings.online.held_result_bytes);
+  reader.Read("online", "kept_appends",
+              {.required = false, .minimum = 1, .maximum = 1000000000},
+              settings.online.kept_appends);
+  reader.Read("online", "indexed_results",
+              {.required = false, .minimum = 1, .maximum = 1000000000},
+              settings.online.indexed_results);
+  reader.Read("online", "orphan_wait",
+              {.required = false, .minimum = 0, .maximum = 600000},
+              settings.online.orphan_wait);
+  reader.Read("shutdown", "balancer_delay",
+              {.required = false, .minimum = 0, .maximum = 600000},
+              settings.shutdown.balancer_delay);
+  reader.Read("shutdown", "running_limit",
+              {.required = false, .minimum = 0, .maximum = 3600000},
+              settings.shutdown.running_limit);
+  reader.Read("shutdown", "flush_limit",
+              {.required = false, .minimum = 0, .maximum = 600000},
+              settings.shutdown.flush_limit);
   TRY(reader.Finish());
   return settings;
 }
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -75,11 +75,54 @@
     bool operator==(const Batch&) const = default;
   };
 
+  struct Online {
+    /// Largest number of attempts of one request.
+    std::uint32_t attempts{4};
+    /// Time after the patience in which a daemon may still confirm that a
+    /// request did not run.
+    std::chrono::milliseconds revoke_wait{200};
+    /// Longest time a keyed request waits for its intent to be in the log.
+    std::chrono::milliseconds intent_wait{2000};
+    /// Longest time a result waits for others to share its append.
+    std::chrono::milliseconds commit_delay{20};
+    /// Largest append in bytes.
+    std::uint64_t commit_bytes{524288};
+    /// Results held while the log is away; non-repeatable work is refused from
+    /// half of it on.
+    std::uint64_t held_result_bytes{67108864};
+    /// Appends to the log stream of requests for which results and keys are
+    /// remembered; 240000 is 10 minutes at 400 appends a second. The log must
+    /// retain as many.
+    std::uint64_t kept_appends{240000};
+    /// Results without an intent that are remembered; the oldest are forgotten
+    /// first.
+    std::uint64_t indexed_results{1000000};
+    /// Longest time a resent request waits for the result of an earlier run of
+    /// this entry's process.
+    std::chrono::milliseconds orphan_wait{5000};
+
+    bool operator==(const Online&) const = default;
+  };
+
+  struct Shutdown {
+    /// Time for the load balancer to notice that the entry is not ready;
+    /// callers are still served.
+    std::chrono::milliseconds balancer_delay{2000};
+    /// Longest time a shutdown waits for running requests.
+    std::chrono::milliseconds running_limit{60000};
+    /// Longest time a shutdown waits for results to reach the log.
+    std::chrono::milliseconds flush_limit{5000};
+
+    bool operator==(const Shutdown&) const = default;
+  };
+
   Host host;
   Platform platform;
   Fleet fleet;
   Limits limits;
   Batch batch;
+  Online online;
+  Shutdown shutdown;
 
   bool operator==(const EntrySettings&) const = default;
 };
--- /dev/null
+++ b/Tests/LibLedger/request_ledger_test.cc
@@ -0,0 +1,212 @@
+#include "LibLedger/request_ledger.h"
+
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include "LibLedger/append.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::uint64_t kKeptAppends = 30;
+
+std::string AppendOf(std::vector<records::Envelope> envelopes) {
+  return Encode(MakeAppend("entry", std::move(envelopes)));
+}
+
+records::RequestIntent MakeIntent(int request, int attempt) {
+  return {.request = "k-" + std::to_string(request),
+          .owner = "entry",
+          .attempt = "a" + std::to_string(attempt)};
+}
+
+records::RequestResult MakeResult(int request, int attempt, Verdict verdict) {
+  return {.request = "k-" + std::to_string(request),
+          .verdict = verdict,
+          .text = "text",
+          .attempt = attempt == 0 ? "" : "a" + std::to_string(attempt)};
+}
+
+/// Oracle: what each request's owner and state must be, by the rules of the
+/// design in their plainest form.
+struct RequestModel {
+  struct Item {
+    bool is_finished = false;
+    std::string attempt;
+    std::uint64_t offset = 0;
+  };
+  std::uint64_t next = 1;
+  std::map<std::string, Item> items;
+
+  void Forget() {
+    std::erase_if(this->items, [this](const auto& item) {
+      return item.second.offset + kKeptAppends < this->next;
+    });
+  }
+};
+
+using LedgerCommand = rc::state::Command<RequestModel, RequestLedger>;
+
+void CheckAgainst(const RequestModel& model, const RequestLedger& ledger) {
+  RC_ASSERT(ledger.size() == model.items.size());
+  for (const auto& [id, item] : model.items) {
+    const auto found = ledger.Find(id);
+    RC_ASSERT(found.has_value());
+    RC_ASSERT((found->state == RequestState::kFinished) == item.is_finished);
+    RC_ASSERT(found->offset == item.offset);
+    RC_ASSERT(found->attempt == (item.is_finished ? "" : item.attempt));
+  }
+}
+
+/// Appends an intent, with any other entry's intent for the same request in
+/// the log before or after it.
+struct ApplyIntent : LedgerCommand {
+  int request = *rc::gen::inRange(0, 6);
+  int attempt = *rc::gen::inRange(1, 1000);
+
+  void apply(RequestModel& model) const override {
+    const auto intent = MakeIntent(this->request, this->attempt);
+    model.items.try_emplace(
+        intent.request,
+        RequestModel::Item{.attempt = intent.attempt, .offset = model.next});
+    ++model.next;
+    model.Forget();
+  }
+
+  void run(const RequestModel& model, RequestLedger& ledger) const override {
+    ledger.Apply(
+        model.next,
+        AppendOf({MakeEnvelope(MakeIntent(this->request, this->attempt))}));
+    CheckAgainst(this->nextState(model), ledger);
+  }
+};
+
+/// Appends a result, sometimes twice, of the valid attempt or another one.
+struct ApplyResult : LedgerCommand {
+  int request = *rc::gen::inRange(0, 6);
+  int attempt = *rc::gen::inRange(0, 4);
+  bool is_repeated = *rc::gen::arbitrary<bool>();
+  Verdict verdict =
+      *rc::gen::element(Verdict::kNotRun, Verdict::kMayHaveRun, Verdict::kRan);
+
+  records::RequestResult ResultFor(const RequestModel& model) const {
+    auto result = MakeResult(this->request, this->attempt, this->verdict);
+    // Half of the attempts are the valid one.
+    if (const auto found = model.items.find(result.request);
+        this->attempt > 1 && found != model.items.end()) {
+      result.attempt = found->second.attempt;
+    }
+    return result;
+  }
+
+  void apply(RequestModel& model) const override {
+    const auto result = this->ResultFor(model);
+    const auto found = model.items.find(result.request);
+    const bool is_known = found != model.items.end();
+    if (this->verdict == Verdict::kNotRun) {
+      if (is_known && !found->second.is_finished &&
+          found->second.attempt == result.attempt) {
+        model.items.erase(found);
+      }
+    } else if (!is_known || !found->second.is_finished) {
+      model.items[result.request] = {
+          .is_finished = true, .attempt = result.attempt, .offset = model.next};
+    }
+    ++model.next;
+    model.Forget();
+  }
+
+  void run(const RequestModel& model, RequestLedger& ledger) const override {
+    std::vector<records::Envelope> envelopes(
+        this->is_repeated ? 2 : 1, MakeEnvelope(this->ResultFor(model)));
+    ledger.Apply(model.next, AppendOf(std::move(envelopes)));
+    CheckAgainst(this->nextState(model), ledger);
+  }
+};
+
+struct ApplyGarbage : LedgerCommand {
+  std::string bytes = *rc::gen::arbitrary<std::string>();
+
+  void apply(RequestModel& model) const override {
+    ++model.next;
+    model.Forget();
+  }
+
+  void run(const RequestModel& model, RequestLedger& ledger) const override {
+    ledger.Apply(model.next, this->bytes);
+    CheckAgainst(this->nextState(model), ledger);
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(RequestLedger_AnyRecords){};
+
+// Guards against a second valid intent (a second dispatch), a result that
+// replaces another, and requests that are forgotten too early.
+TEST(RequestLedger_AnyRecords, ReplayAgreesWithTheOracle) {
+  CHECK(rc::check([] {
+    RequestLedger ledger({.kept_appends = kKeptAppends});
+    rc::state::check(RequestModel{}, ledger,
+                     rc::state::gen::execOneOfWithArgs<ApplyIntent, ApplyResult,
+                                                       ApplyGarbage>());
+  }));
+}
+
+// Guards against a new entry that decides otherwise than one that has read
+// the stream from the beginning: replays that start at StartOffset, as after
+// a trim of the head, know the same results.
+TEST(RequestLedger_AnyRecords, LaterReplayKnowsTheSameResults) {
+  CHECK(rc::check([] {
+    const RequestLedgerOptions options{.kept_appends = kKeptAppends};
+    std::vector<std::string> log;
+    RequestLedger whole(options);
+    const int appends = *rc::gen::inRange(1, 90);
+    for (int i = 1; i <= appends; ++i) {
+      log.push_back(AppendOf({MakeEnvelope(
+          MakeResult(*rc::gen::inRange(0, 60), i, Verdict::kRan))}));
+      whole.Apply(static_cast<std::uint64_t>(i), log.back());
+    }
+    RequestLedger later(options);
+    const auto start =
+        RequestLedger::StartOffset(options, 1, whole.next_offset());
+    for (std::uint64_t i = start; i <= log.size(); ++i) {
+      later.Apply(i, log[i - 1]);
+    }
+    RC_ASSERT(later.size() >= whole.size());
+    for (int i = 0; i < 60; ++i) {
+      const std::string id = "k-" + std::to_string(i);
+      RC_ASSERT(!whole.Find(id) || later.Find(id).has_value());
+    }
+  }));
+}
+
+// Guards against memory that grows with the results, and against forgetting
+// an intent to make room for them.
+TEST(RequestLedger_AnyRecords, PlainResultsAreForgottenBeforeIntents) {
+  RequestLedger ledger({.plain_results = 10});
+  ledger.Apply(1, AppendOf({MakeEnvelope(MakeIntent(0, 1))}));
+  for (int i = 1; i <= 50; ++i) {
+    ledger.Apply(static_cast<std::uint64_t>(i) + 1,
+                 AppendOf({MakeEnvelope(MakeResult(i, 0, Verdict::kRan))}));
+  }
+  CHECK_EQUAL(11u, ledger.size());
+  CHECK(ledger.Find("k-0").has_value());
+  CHECK_FALSE(ledger.Find("k-40").has_value());
+  CHECK(ledger.Find("k-41").has_value());
+}
+
+// Guards against a result that cannot be read from its append.
+TEST(RequestLedger_AnyRecords, ResultIsFoundInItsAppend) {
+  const std::string data =
+      AppendOf({MakeEnvelope(MakeResult(1, 0, Verdict::kRan)),
+                MakeEnvelope(MakeResult(2, 0, Verdict::kRan))});
+  CHECK(ResultIn(data, "k-2").has_value());
+  CHECK_FALSE(ResultIn(data, "k-3").has_value());
+}
+
+}  // namespace crocus
