--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -25,6 +25,20 @@
       return "request_finished";
     case Event::kCallerLeft:
       return "caller_left";
+    case Event::kRequestRetried:
+      return "request_retried";
+    case Event::kRequestHedged:
+      return "request_hedged";
+    case Event::kResultDropped:
+      return "result_dropped";
+    case Event::kShutdownStep:
+      return "shutdown_step";
+    case Event::kResultTakenOver:
+      return "result_taken_over";
+    case Event::kRequestAttached:
+      return "request_attached";
+    case Event::kIntentLost:
+      return "intent_lost";
     case Event::kAttemptStarted:
       return "attempt_started";
     case Event::kAttemptFinished:
@@ -57,6 +71,10 @@
       return "job_cancelled";
     case Event::kSnapshotWritten:
       return "snapshot_written";
+    case Event::kReplicaEjected:
+      return "replica_ejected";
+    case Event::kReplicaReturned:
+      return "replica_returned";
   }
   return "unknown";
 }
@@ -64,6 +82,7 @@
 Severity EventSeverity(Event event) {
   switch (event) {
     case Event::kRequestFinished:
+    case Event::kRequestHedged:
     case Event::kAttemptStarted:
     case Event::kAttemptFinished:
       return Severity::kDebug;
@@ -72,6 +91,11 @@
     case Event::kConnectionOpened:
     case Event::kRequestRefused:
     case Event::kCallerLeft:
+    case Event::kRequestRetried:
+    case Event::kShutdownStep:
+    case Event::kResultTakenOver:
+    case Event::kRequestAttached:
+    case Event::kIntentLost:
     case Event::kAttemptRefused:
     case Event::kDraining:
     case Event::kRulesInForce:
@@ -81,6 +105,7 @@
     case Event::kPartitionReleased:
     case Event::kJobCancelled:
     case Event::kSnapshotWritten:
+    case Event::kReplicaReturned:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
@@ -88,9 +113,11 @@
     case Event::kLogUnavailable:
     case Event::kPartitionLost:
     case Event::kItemGivenUp:
+    case Event::kReplicaEjected:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
+    case Event::kResultDropped:
     case Event::kStreamHeadLost:
       return Severity::kError;
   }
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -21,6 +21,13 @@
   kRequestRefused = 200,
   kRequestFinished = 201,
   kCallerLeft = 202,
+  kRequestRetried = 203,
+  kRequestHedged = 204,
+  kResultDropped = 205,
+  kShutdownStep = 206,
+  kResultTakenOver = 207,
+  kRequestAttached = 208,
+  kIntentLost = 209,
   kAttemptStarted = 300,
   kAttemptFinished = 301,
   kAttemptRefused = 302,
@@ -37,6 +44,8 @@
   kItemGivenUp = 505,
   kJobCancelled = 506,
   kSnapshotWritten = 507,
+  kReplicaEjected = 600,
+  kReplicaReturned = 601,
 };
 
 /// Returns the event's name in the catalogue, such as "entry_started".
