--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -19,6 +19,10 @@
       return "connection_lost";
     case Event::kConnectionOpened:
       return "connection_opened";
+    case Event::kPeerRules:
+      return "peer_rules";
+    case Event::kRulesRejected:
+      return "rules_rejected";
     case Event::kRequestRefused:
       return "request_refused";
     case Event::kRequestFinished:
@@ -39,6 +43,14 @@
       return "log_unavailable";
     case Event::kRulesInForce:
       return "rules_in_force";
+    case Event::kRulesStateUnknown:
+      return "rules_state_unknown";
+    case Event::kRulesCarried:
+      return "rules_carried";
+    case Event::kPublishRefused:
+      return "publish_refused";
+    case Event::kLogAvailable:
+      return "log_available";
     case Event::kJobAccepted:
       return "job_accepted";
     case Event::kPartitionClaimed:
@@ -60,11 +72,14 @@
     case Event::kProgramStarted:
     case Event::kProgramStopped:
     case Event::kConnectionOpened:
+    case Event::kPeerRules:
     case Event::kRequestRefused:
     case Event::kCallerLeft:
     case Event::kAttemptRefused:
     case Event::kDraining:
     case Event::kRulesInForce:
+    case Event::kRulesCarried:
+    case Event::kLogAvailable:
     case Event::kJobAccepted:
     case Event::kPartitionClaimed:
     case Event::kJobFinished:
@@ -73,10 +88,13 @@
     case Event::kConnectionLost:
     case Event::kAppendUnknown:
     case Event::kLogUnavailable:
+    case Event::kPublishRefused:
     case Event::kPartitionLost:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
+    case Event::kRulesRejected:
+    case Event::kRulesStateUnknown:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibLedger/rules_ledger.cc
+++ b/Libraries/LibLedger/rules_ledger.cc
@@ -18,6 +18,7 @@
 }
 
 void RulesLedger::Apply(const LogPage& page, const Observer& observer) {
+  this->first_kept = page.first;
   if (page.first > this->next) {
     this->StartAt(page.first);
   }
--- a/Libraries/LibLedger/rules_ledger.h
+++ b/Libraries/LibLedger/rules_ledger.h
@@ -63,6 +63,8 @@
   std::uint64_t carried_offset() const { return this->newest_carried; }
   /// A reader can start if no record after this offset is trimmed.
   std::uint64_t carried_through() const { return this->newest_through; }
+  /// Oldest offset that the log kept when it was read last.
+  std::uint64_t oldest_kept() const { return this->first_kept; }
 
   /// The current state as a record. Needs a known state.
   records::RulesCarried MakeCarried() const;
@@ -88,6 +90,7 @@
   std::shared_ptr<const RuleSet> current_rules = std::make_shared<RuleSet>();
   std::string published_text;
   std::string published_author;
+  std::uint64_t first_kept = 1;
   std::uint64_t newest_carried = 0;
   std::uint64_t newest_through = 0;
   /// Appends that named a base version above the current one. Of all refused
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -34,6 +34,15 @@
   reader.Read("platform", "hosts_url",
               {.required = false, .minimum = 0, .maximum = 9e15},
               settings.platform.hosts_url);
+  reader.Read("platform", "require_rules",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.platform.require_rules);
+  reader.Read("platform", "rules_poll",
+              {.required = false, .minimum = 20, .maximum = 8000},
+              settings.platform.rules_poll);
+  reader.Read("platform", "rules_carry",
+              {.required = false, .minimum = 100, .maximum = 86400000},
+              settings.platform.rules_carry);
   reader.Read("fleet", "daemons",
               {.required = false, .minimum = 0, .maximum = 9e15},
               settings.fleet.daemons);
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -38,6 +38,14 @@
     std::string log_url{""};
     /// URL of the platform's host list.
     std::string hosts_url{""};
+    /// Whether the entry stays unready until it has a version of the rules.
+    bool require_rules{false};
+    /// Interval at which the rules are read from the log and asked of the other
+    /// entries.
+    std::chrono::milliseconds rules_poll{1000};
+    /// Interval at which the rules are carried forward; well below the time
+    /// that the log keeps a record.
+    std::chrono::milliseconds rules_carry{3600000};
 
     bool operator==(const Platform&) const = default;
   };
--- a/Meta/lint.py
+++ b/Meta/lint.py
@@ -27,7 +27,13 @@
         return
     seen.add(path)
     for name in INCLUDE.findall(path.read_text(encoding="utf-8")):
-        for base in (ROOT / "Libraries", ROOT / "Services", ROOT, path.parent):
+        for base in (
+            ROOT / "Libraries",
+            ROOT / "Services",
+            ROOT / "Utilities",
+            ROOT,
+            path.parent,
+        ):
             candidate = base / name
             if candidate.exists():
                 project_includes(candidate.resolve(), seen)
--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -141,6 +141,13 @@
         reject(push.error());
       }
       return;
+    case MessageType::kRulesQuery:
+      if (const auto query = Decode<messages::RulesQuery>(frame.body)) {
+        this->OnRulesQuery(connection, frame, *query);
+      } else {
+        reject(query.error());
+      }
+      return;
     case MessageType::kDrain:
       if (const auto drain = Decode<messages::Drain>(frame.body)) {
         this->OnDrain(*drain);
@@ -257,6 +264,20 @@
   this->Perform(todo);
 }
 
+void Daemon::OnRulesQuery(const std::shared_ptr<Connection>& connection,
+                          const Frame& frame,
+                          const messages::RulesQuery& query) {
+  messages::RulesPush reply;
+  {
+    std::lock_guard lock(this->mutex);
+    reply = this->rules;
+  }
+  if (query.known_version >= reply.version) {
+    reply.text.clear();
+  }
+  connection->Send(MakeFrame(reply, frame.correlation));
+}
+
 void Daemon::OnDrain(const messages::Drain& drain) {
   Todo todo;
   {
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -68,6 +68,9 @@
   void OnRevoke(const std::shared_ptr<Connection>& connection,
                 const Frame& frame,
                 const messages::Revoke& revoke);
+  void OnRulesQuery(const std::shared_ptr<Connection>& connection,
+                    const Frame& frame,
+                    const messages::RulesQuery& query);
   void OnDrain(const messages::Drain& drain);
 
   void RunAttempt(const std::string& id);
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -12,21 +12,40 @@
     : settings(std::move(settings)),
       incarnation(SystemRandom()),
       fleet(this->io.context(),
-            {.role = messages::Role::kEntry,
-             .name = this->settings.host.name,
-             .availability_zone = this->settings.host.availability_zone,
-             .region = this->settings.host.region,
-             .incarnation = this->incarnation},
+            this->MakeHello(),
             this->settings.fleet.daemons,
             {.on_load = [this] { this->batches.Wake(); },
              .on_offer =
                  [this](const std::string& daemon, const auto& offer) {
                    this->batches.OnOffer(daemon, offer);
                  },
-             .on_lost = [](const std::string&) {}}),
+             .on_lost = [](const std::string&) {},
+             .on_rules =
+                 [this](const std::string& daemon, const auto& push) {
+                   this->rules.OnPeerRules(daemon, push);
+                 }}),
+      rules(this->settings,
+            [this](const messages::RulesPush& push) {
+              this->fleet.PushRules(push);
+            }),
+      rules_peers(this->io.context(),
+                  this->settings.fleet.entries,
+                  this->settings.platform.rules_poll,
+                  this->MakeHello(),
+                  this->rules),
+      internal_server(this->io.context(),
+                      [this] {
+                        auto hello = this->MakeHello();
+                        hello.rules_version = this->rules.version();
+                        return hello;
+                      }),
       batches(this->settings, this->incarnation, this->fleet),
       requests(this->settings, this->fleet),
       batch_interface(this->batches),
+      operator_interface(this->fleet,
+                         this->rules,
+                         this->rules_peers,
+                         [this] { return this->DescribeSelf(); }),
       server({.address = this->settings.host.address,
               .port = this->settings.host.http_port,
               .connection_limit = this->settings.limits.connections,
@@ -38,7 +57,13 @@
 
 Result<void> Entry::Start() {
   this->AddRoutes();
+  this->AddOperatorRoutes();
+  this->AddInternalHandlers();
+  TRY(this->internal_server.Start(this->settings.host.address,
+                                  this->settings.host.internal_port));
   this->fleet.Start();
+  this->rules.Start();
+  this->rules_peers.Start();
   this->batches.Start();
   return this->server.Start();
 }
@@ -47,6 +72,9 @@
   this->is_leaving = true;
   this->server.Stop();
   this->batches.Stop();
+  this->rules.Stop();
+  this->rules_peers.Stop();
+  this->internal_server.Stop();
   this->fleet.Stop();
 }
 
@@ -59,8 +87,9 @@
     return JsonResponse(200, {{"ok", true}});
   });
   add("GET", "/readyz", [this](const HttpRequest&) {
-    const bool is_ready =
-        !this->is_leaving && !this->fleet.AllReplicas().empty();
+    const bool is_ready = !this->is_leaving &&
+                          !this->fleet.AllReplicas().empty() &&
+                          this->rules.is_ready();
     return JsonResponse(is_ready ? 200 : 503, {{"ready", is_ready}});
   });
   add("POST", "/v1/requests", [this](const HttpRequest& request) {
@@ -83,4 +112,47 @@
   });
 }
 
+void Entry::AddOperatorRoutes() {
+  this->server.AddRoute("GET", "/v1/rules", [this](const HttpRequest& request) {
+    return this->operator_interface.Rules(request);
+  });
+  this->server.AddRoute("GET", "/v1/status",
+                        [this](const HttpRequest& request) {
+                          return this->operator_interface.Status(request);
+                        });
+  this->server.AddRoute("POST", "/v1/drain",
+                        [this](const HttpRequest& request) {
+                          return this->operator_interface.Drain(request);
+                        });
+}
+
+void Entry::AddInternalHandlers() {
+  this->internal_server.AddHandler<messages::RulesQuery>(
+      [this](const auto& connection, const auto& query, auto correlation) {
+        auto reply = this->rules.CurrentText();
+        if (query.known_version >= reply.version) {
+          reply.text.clear();
+        }
+        connection->Send(MakeFrame(reply, correlation));
+      });
+}
+
+messages::Hello Entry::MakeHello() const {
+  return {.role = messages::Role::kEntry,
+          .name = this->settings.host.name,
+          .availability_zone = this->settings.host.availability_zone,
+          .region = this->settings.host.region,
+          .incarnation = this->incarnation};
+}
+
+nlohmann::json Entry::DescribeSelf() const {
+  return {{"name", this->settings.host.name},
+          {"availability_zone", this->settings.host.availability_zone},
+          {"region", this->settings.host.region},
+          {"http_port", this->http_port()},
+          {"internal_port", this->internal_port()},
+          {"log_url", this->settings.platform.log_url},
+          {"leaving", this->is_leaving.load()}};
+}
+
 }  // namespace crocus
--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -8,7 +8,11 @@
 #include "Entry/batch_interface.h"
 #include "Entry/batch_store.h"
 #include "Entry/fleet.h"
+#include "Entry/internal_server.h"
 #include "Entry/online_requests.h"
+#include "Entry/operator_interface.h"
+#include "Entry/rules_follower.h"
+#include "Entry/rules_peers.h"
 #include "LibCore/result.h"
 #include "LibHttp/http_server.h"
 #include "LibNetwork/io_thread.h"
@@ -28,18 +32,27 @@
   void Stop();
 
   std::uint16_t http_port() const { return this->server.port(); }
+  std::uint16_t internal_port() const { return this->internal_server.port(); }
 
  private:
   void AddRoutes();
+  void AddOperatorRoutes();
+  void AddInternalHandlers();
+  messages::Hello MakeHello() const;
+  nlohmann::json DescribeSelf() const;
 
   const EntrySettings settings;
   const std::uint64_t incarnation;
   std::atomic<bool> is_leaving = false;
   IoThread io;
   Fleet fleet;
+  RulesFollower rules;
+  RulesPeers rules_peers;
+  InternalServer internal_server;
   BatchStore batches;
   OnlineRequests requests;
   BatchInterface batch_interface;
+  OperatorInterface operator_interface;
   HttpServer server;
 };
 
--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -66,6 +66,35 @@
   return views;
 }
 
+std::vector<DaemonView> Fleet::Daemons() const {
+  std::lock_guard lock(this->mutex);
+  std::vector<DaemonView> views;
+  for (const auto& [address, client] : this->clients) {
+    DaemonView view{.address = address, .is_connected = client->is_connected()};
+    if (const auto state = this->daemons.find(address);
+        state != this->daemons.end()) {
+      view.name = state->second.hello.name;
+      view.availability_zone = state->second.hello.availability_zone;
+      view.region = state->second.hello.region;
+      view.rules_version = state->second.hello.rules_version;
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void Fleet::OnRulesVersion(const std::string& daemon, std::uint64_t version) {
+  std::uint64_t known = 0;
+  {
+    std::lock_guard lock(this->mutex);
+    known = this->rules.version;
+    this->daemons[daemon].hello.rules_version = version;
+  }
+  if (version > known) {
+    this->Send(daemon, messages::RulesQuery{.known_version = known});
+  }
+}
+
 std::vector<ReplicaView> Fleet::ReplicasFor(const std::string& model) const {
   auto views = this->AllReplicas();
   std::erase_if(views, [&model](const ReplicaView& view) {
@@ -145,8 +174,12 @@
   switch (frame.type) {
     case MessageType::kHello:
       if (auto hello = Decode<messages::Hello>(frame.body)) {
-        std::lock_guard lock(this->mutex);
-        this->daemons[daemon].hello = std::move(*hello);
+        const std::uint64_t version = hello->rules_version;
+        {
+          std::lock_guard lock(this->mutex);
+          this->daemons[daemon].hello = std::move(*hello);
+        }
+        this->OnRulesVersion(daemon, version);
       }
       return;
     case MessageType::kLoadReport:
@@ -158,9 +191,15 @@
             state.replicas[load.replica] = load;
           }
         }
+        this->OnRulesVersion(daemon, report->rules_version);
         this->handlers.on_load();
       }
       return;
+    case MessageType::kRulesPush:
+      if (const auto rules = Decode<messages::RulesPush>(frame.body)) {
+        this->handlers.on_rules(daemon, *rules);
+      }
+      return;
     case MessageType::kTokenChunk:
       if (const auto chunk = Decode<messages::TokenChunk>(frame.body)) {
         std::function<void(const messages::TokenChunk&)> on_chunk;
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -31,6 +31,20 @@
   bool operator==(const ReplicaView&) const = default;
 };
 
+/// What an entry knows about one daemon of its settings.
+struct DaemonView {
+  /// IP:port.
+  std::string address;
+  bool is_connected = false;
+  /// Empty until the daemon has said it.
+  std::string name;
+  std::string availability_zone;
+  std::string region;
+  std::uint64_t rules_version = 0;
+
+  bool operator==(const DaemonView&) const = default;
+};
+
 struct AttemptCallbacks {
   std::function<void(const messages::TokenChunk&)> on_chunk;
   /// Also called with kMayHaveRun when the connection is lost.
@@ -46,6 +60,10 @@
       on_offer;
   /// A daemon's connection closed; its unfinished attempts are unknown.
   std::function<void(const std::string& daemon)> on_lost;
+  /// A daemon answered a query for its rules.
+  std::function<void(const std::string& daemon,
+                     const messages::RulesPush& rules)>
+      on_rules;
 };
 
 /// Connections to all daemons, and the replicas behind them. Thread-safe;
@@ -63,6 +81,7 @@
   /// Replicas of connected daemons that serve `model` and are not leaving.
   std::vector<ReplicaView> ReplicasFor(const std::string& model) const;
   std::vector<ReplicaView> AllReplicas() const;
+  std::vector<DaemonView> Daemons() const;
 
   /// Sends an attempt. On failure it was not sent and no callback follows.
   Result<void> Execute(const std::string& daemon,
@@ -107,6 +126,8 @@
   void OnFrame(const std::string& daemon, const Frame& frame);
   void OnLost(const std::string& daemon);
   void OnDone(const messages::AttemptDone& done);
+  /// Asks the daemon for its rules if they are newer than ours.
+  void OnRulesVersion(const std::string& daemon, std::uint64_t version);
   ReplicaView MakeView(const std::string& daemon,
                        const DaemonState& state,
                        const messages::ReplicaLoad& load) const;
--- /dev/null
+++ b/Services/Entry/internal_server.h
@@ -0,0 +1,64 @@
+#ifndef ENTRY_INTERNAL_SERVER_H_
+#define ENTRY_INTERNAL_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+
+#include "LibCore/result.h"
+#include "LibEvents/event_log.h"
+#include "LibNetwork/frame_server.h"
+
+namespace crocus {
+
+/// The entry's internal port. Handlers are added before Start and run on the
+/// IoThread, so they must not block. A message that does not decode closes its
+/// connection; types without a handler are ignored.
+class InternalServer {
+ public:
+  /// `hello` gives the first message of each connection.
+  InternalServer(boost::asio::io_context& context,
+                 std::function<messages::Hello()> hello)
+      : context(context), hello(std::move(hello)) {}
+
+  /// `handler` gets the connection, the message and its correlation id.
+  template <typename Message, typename Handler>
+  void AddHandler(Handler handler) {
+    this->handlers[Message::kType] =
+        [handler](const std::shared_ptr<Connection>& connection,
+                  const Frame& frame) {
+          if (const auto message = Decode<Message>(frame.body)) {
+            handler(connection, *message, frame.correlation);
+          } else {
+            Reject(connection, message.error());
+          }
+        };
+  }
+
+  Result<void> Start(const std::string& address, std::uint16_t port);
+  void Stop();
+
+  /// Needs a successful Start.
+  std::uint16_t port() const { return this->server->port(); }
+
+ private:
+  using FrameHandler =
+      std::function<void(const std::shared_ptr<Connection>&, const Frame&)>;
+
+  static void Reject(const std::shared_ptr<Connection>& connection,
+                     const Error& error);
+
+  boost::asio::io_context& context;
+  const std::function<messages::Hello()> hello;
+  std::map<messages::MessageType, FrameHandler> handlers;
+  std::shared_ptr<FrameServer> server;
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_INTERNAL_SERVER_H_
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -23,12 +23,15 @@
     return static_cast<int>(crocus::ExitCode::kFailure);
   }
   const std::string port = std::to_string(entry.http_port());
+  const std::string internal_port = std::to_string(entry.internal_port());
   if (!settings->host.port_file.empty()) {
-    crocus::WriteFileAtomically(settings->host.port_file,
-                                "http " + port + "\n");
+    crocus::WriteFileAtomically(
+        settings->host.port_file,
+        "http " + port + "\ninternal " + internal_port + "\n");
   }
-  crocus::LogEvent(Event::kProgramStarted,
-                   {{"program", "crocus-entry"}, {"http_port", port}});
+  crocus::LogEvent(Event::kProgramStarted, {{"program", "crocus-entry"},
+                                            {"http_port", port},
+                                            {"internal_port", internal_port}});
   const std::string reason = crocus::WaitForStopSignal();
   entry.Stop();
   crocus::LogEvent(Event::kProgramStopped,
--- /dev/null
+++ b/Services/Entry/operator_interface.h
@@ -0,0 +1,37 @@
+#ifndef ENTRY_OPERATOR_INTERFACE_H_
+#define ENTRY_OPERATOR_INTERFACE_H_
+
+#include <functional>
+
+#include <nlohmann/json.hpp>
+
+#include "Entry/fleet.h"
+#include "Entry/rules_follower.h"
+#include "Entry/rules_peers.h"
+#include "LibHttp/http_message.h"
+
+namespace crocus {
+
+/// HTTP pages for operators: rules in force, status and draining.
+class OperatorInterface {
+ public:
+  /// `describe_entry` gives the entry's own part of the status.
+  OperatorInterface(Fleet& fleet,
+                    const RulesFollower& rules,
+                    const RulesPeers& peers,
+                    std::function<nlohmann::json()> describe_entry);
+
+  HttpResponse Rules(const HttpRequest& request) const;
+  HttpResponse Status(const HttpRequest& request) const;
+  HttpResponse Drain(const HttpRequest& request);
+
+ private:
+  Fleet& fleet;
+  const RulesFollower& rules;
+  const RulesPeers& peers;
+  const std::function<nlohmann::json()> describe_entry;
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_OPERATOR_INTERFACE_H_
--- /dev/null
+++ b/Utilities/Control/batch_commands.cc
@@ -0,0 +1,124 @@
+#include "Control/batch_commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "Control/entry_client.h"
+#include "LibCore/text_table.h"
+
+namespace crocus {
+
+namespace {
+
+/// A job of 410,000 items is written to the log before the answer.
+constexpr std::chrono::seconds kSubmitTimeout{600};
+
+constexpr int kFirstErrorStatus = 400;
+
+ControlExit PrintAnswer(const CommandLine& line,
+                        const Result<nlohmann::json>& answer) {
+  if (!answer) {
+    return FailWith(answer.error());
+  }
+  if (line.is_json()) {
+    std::cout << answer->dump() << "\n";
+    return ControlExit::kDone;
+  }
+  std::vector<TextRow> rows;
+  for (const auto& [key, value] : answer->items()) {
+    rows.push_back(
+        {key, value.is_string() ? value.get<std::string>() : value.dump()});
+  }
+  std::cout << FormatTable({"FIELD", "VALUE"}, rows);
+  return ControlExit::kDone;
+}
+
+ControlExit Submit(const CommandLine& line) {
+  std::ifstream stream(line.Text("FILE"));
+  if (!stream) {
+    return Fail(ControlExit::kFailed,
+                line.Text("FILE") + ": file cannot be read");
+  }
+  std::ostringstream text;
+  text << stream.rdbuf();
+  HttpCall call{.method = "POST",
+                .url = "/v1/batches",
+                .body = text.str(),
+                .timeout = kSubmitTimeout};
+  if (line.Has("key")) {
+    call.headers["Idempotency-Key"] = line.Text("key");
+  }
+  return PrintAnswer(line, CallEntryJson(line, call));
+}
+
+ControlExit Status(const CommandLine& line) {
+  return PrintAnswer(
+      line, CallEntryJson(line, {.url = "/v1/batches/" + line.Text("ID")}));
+}
+
+ControlExit Cancel(const CommandLine& line) {
+  return PrintAnswer(
+      line, CallEntryJson(
+                line, {.method = "POST",
+                       .url = "/v1/batches/" + line.Text("ID") + "/cancel"}));
+}
+
+ControlExit Results(const CommandLine& line) {
+  const auto reply = CallEntry(
+      line, {.url = "/v1/batches/" + line.Text("ID") + "/results?first=" +
+                    line.Text("first") + "&limit=" + line.Text("limit")});
+  if (!reply) {
+    return FailWith(reply.error());
+  }
+  if (reply->status >= kFirstErrorStatus) {
+    return FailWith(RefusalError(*reply));
+  }
+  std::cout << reply->body;
+  return ControlExit::kDone;
+}
+
+}  // namespace
+
+std::vector<Command> BatchCommands() {
+  return {
+      {.words = "batch submit",
+       .arguments = {"FILE"},
+       .summary = "submit a job; line 1 is the job, each other line an item",
+       .examples = {"crocusctl batch submit proofs.jsonl --key proofs-12"},
+       .add_options =
+           [](cxxopts::OptionAdder& add) {
+             add("key", "key under which a resent job is the same job",
+                 cxxopts::value<std::string>());
+           },
+       .run = Submit},
+      {.words = "batch status",
+       .arguments = {"ID"},
+       .summary = "show a job's state",
+       .examples = {"crocusctl batch status j-5f2a"},
+       .add_options = {},
+       .run = Status},
+      {.words = "batch cancel",
+       .arguments = {"ID"},
+       .summary = "cancel a job",
+       .examples = {"crocusctl batch cancel j-5f2a"},
+       .add_options = {},
+       .run = Cancel},
+      {.words = "batch results",
+       .arguments = {"ID"},
+       .summary = "print results, one JSON object a line",
+       .examples = {"crocusctl batch results j-5f2a --first 1000"},
+       .add_options =
+           [](cxxopts::OptionAdder& add) {
+             add("first", "index of the first item",
+                 cxxopts::value<std::string>()->default_value("0"))(
+                 "limit", "largest number of results",
+                 cxxopts::value<std::string>()->default_value("1000"));
+           },
+       .run = Results}};
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Utilities/Control/command.cc
@@ -0,0 +1,26 @@
+#include "Control/command.h"
+
+#include <cstdlib>
+#include <iostream>
+
+#include "LibCore/text.h"
+
+namespace crocus {
+
+std::vector<std::string> CommandLine::Entries() const {
+  std::string text = this->Text("entry");
+  if (text.empty()) {
+    const char* variable = std::getenv("CROCUS_ENTRY");
+    text = variable == nullptr ? "" : variable;
+  }
+  auto entries = Split(text, ',');
+  std::erase(entries, "");
+  return entries;
+}
+
+ControlExit Fail(ControlExit code, const std::string& message) {
+  std::cerr << "crocusctl: " << message << "\n";
+  return code;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Utilities/Control/request_command.cc
@@ -0,0 +1,80 @@
+#include "Control/request_command.h"
+
+#include <iostream>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "Control/entry_client.h"
+
+namespace crocus {
+
+namespace {
+
+/// Time beyond the caller's patience in which the entry's refusal arrives.
+constexpr std::chrono::seconds kAnswerMargin{5};
+
+HttpCall MakeCall(const CommandLine& line) {
+  const nlohmann::json body = {{"model", line.Text("model")},
+                               {"prompt", line.Text("PROMPT")},
+                               {"workspace", line.Text("workspace")},
+                               {"class", line.Text("class")},
+                               {"max_tokens", line.Number("max-tokens")},
+                               {"repeatable", !line.Has("once")}};
+  const std::chrono::milliseconds patience(line.Number("patience-ms"));
+  HttpCall call{
+      .method = "POST",
+      .url = "/v1/requests",
+      .headers = {{"X-Patience-Ms", std::to_string(patience.count())}},
+      .body =
+          body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace),
+      .timeout =
+          std::chrono::ceil<std::chrono::seconds>(patience) + kAnswerMargin};
+  if (line.Has("key")) {
+    call.headers["Idempotency-Key"] = line.Text("key");
+  }
+  return call;
+}
+
+ControlExit Send(const CommandLine& line) {
+  const auto answer = CallEntryJson(line, MakeCall(line));
+  if (!answer) {
+    return FailWith(answer.error());
+  }
+  if (line.is_json()) {
+    std::cout << answer->dump() << "\n";
+    return ControlExit::kDone;
+  }
+  for (const auto& choice : answer->value("choices", nlohmann::json::array())) {
+    std::cout << choice.value("text", "") << "\n";
+  }
+  return ControlExit::kDone;
+}
+
+void AddOptions(cxxopts::OptionAdder& add) {
+  add("model", "model to use", cxxopts::value<std::string>())(
+      "workspace", "workspace that asks", cxxopts::value<std::string>())(
+      "class", "request class",
+      cxxopts::value<std::string>()->default_value("default"))(
+      "max-tokens", "largest number of tokens",
+      cxxopts::value<std::uint64_t>()->default_value("16"))(
+      "patience-ms", "time that the caller is willing to wait",
+      cxxopts::value<std::uint64_t>()->default_value("30000"))(
+      "key", "key under which a resent request is the same request",
+      cxxopts::value<std::string>())("once",
+                                     "the request must not be repeated");
+}
+
+}  // namespace
+
+std::vector<Command> RequestCommands() {
+  return {{.words = "request",
+           .arguments = {"PROMPT"},
+           .summary = "send one online request and print the answer",
+           .examples = {"crocusctl request \"Describe the mat\" --model proof "
+                        "--workspace mats"},
+           .add_options = AddOptions,
+           .run = Send}};
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Utilities/Control/rules_commands.h
@@ -0,0 +1,15 @@
+#ifndef CONTROL_RULES_COMMANDS_H_
+#define CONTROL_RULES_COMMANDS_H_
+
+#include <vector>
+
+#include "Control/command.h"
+
+namespace crocus {
+
+/// rules check, publish, show and diff.
+std::vector<Command> RulesCommands();
+
+}  // namespace crocus
+
+#endif  // CONTROL_RULES_COMMANDS_H_
