--- a/Libraries/LibRules/rule_table.cc
+++ b/Libraries/LibRules/rule_table.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "LibCore/text_table.h"
+#include "LibRules/rule_value.h"
 
 namespace crocus {
 
@@ -29,10 +30,6 @@
   return Number(value) + "/s";
 }
 
-std::string Milliseconds(std::chrono::milliseconds value) {
-  return std::to_string(value.count()) + "ms";
-}
-
 std::string Names(const std::vector<std::string>& names) {
   std::string text;
   for (const auto& name : names) {
@@ -47,8 +44,8 @@
       {"reserve", std::to_string(rule.reserve_slots)},
       {"long_share", Percentage(rule.long_share)},
       {"ejected_share", Percentage(rule.ejected_share)},
-      {"first_token", Milliseconds(rule.first_token_target)},
-      {"token", Milliseconds(rule.token_target)},
+      {"first_token", FormatDuration(rule.first_token_target)},
+      {"token", FormatDuration(rule.token_target)},
       {"leaving", rule.is_leaving ? "yes" : "no"}};
   // An empty list has no notation in the rule file.
   if (!rule.models.empty()) {
@@ -66,13 +63,13 @@
 
 Values Describe(const std::string& workspace, const ClassRule& rule) {
   return {{"workspace", workspace},
-          {"patience", Milliseconds(rule.patience)},
-          {"due", Milliseconds(rule.due)},
+          {"patience", FormatDuration(rule.patience)},
+          {"due", FormatDuration(rule.due)},
           {"share", Number(rule.share)}};
 }
 
 Values Describe(const SpillRule& rule) {
-  return {{"price", Milliseconds(rule.minimum_gain)},
+  return {{"price", FormatDuration(rule.minimum_gain)},
           {"max_share", Percentage(rule.maximum_share)}};
 }
 
--- a/Libraries/LibRules/rule_value.cc
+++ b/Libraries/LibRules/rule_value.cc
@@ -33,18 +33,6 @@
          std::isfinite(value);
 }
 
-std::string Describe(std::chrono::milliseconds duration) {
-  using std::chrono::hours;
-  using std::chrono::seconds;
-  if (duration >= hours(1) && duration % hours(1) == seconds(0)) {
-    return std::to_string(duration / hours(1)) + "h";
-  }
-  if (duration >= seconds(1) && duration % seconds(1) == seconds(0)) {
-    return std::to_string(duration / seconds(1)) + "s";
-  }
-  return std::to_string(duration.count()) + "ms";
-}
-
 }  // namespace
 
 Result<void> ReadPercentage(const std::string& text, double& value) {
@@ -112,7 +100,26 @@
     return {};
   }
   return Expected("a duration with the unit ms, s, min or h from " +
-                  Describe(minimum) + " to " + Describe(maximum));
+                  FormatDuration(minimum) + " to " + FormatDuration(maximum));
+}
+
+std::string FormatDuration(std::chrono::milliseconds duration) {
+  using std::chrono::hours;
+  using std::chrono::minutes;
+  using std::chrono::seconds;
+  const auto is_whole = [duration](std::chrono::milliseconds unit) {
+    return duration >= unit && duration % unit == seconds(0);
+  };
+  if (is_whole(hours(1))) {
+    return std::to_string(duration / hours(1)) + "h";
+  }
+  if (is_whole(minutes(1))) {
+    return std::to_string(duration / minutes(1)) + "min";
+  }
+  if (is_whole(seconds(1))) {
+    return std::to_string(duration / seconds(1)) + "s";
+  }
+  return std::to_string(duration.count()) + "ms";
 }
 
 Result<void> ReadFlag(const std::string& text, bool& value) {
--- a/Libraries/LibRules/rule_value.h
+++ b/Libraries/LibRules/rule_value.h
@@ -31,6 +31,9 @@
                           std::chrono::milliseconds maximum,
                           std::chrono::milliseconds& value);
 
+/// Writes a duration with the largest unit that keeps it a whole number.
+std::string FormatDuration(std::chrono::milliseconds duration);
+
 /// yes or no.
 Result<void> ReadFlag(const std::string& text, bool& value);
 
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -52,9 +52,9 @@
 
   struct Fleet {
     /// Addresses of the daemons, IP:port, separated by commas.
-    std::vector<std::string> daemons{{}};
+    std::vector<std::string> daemons{};
     /// Internal addresses of the other entries, IP:port, separated by commas.
-    std::vector<std::string> entries{{}};
+    std::vector<std::string> entries{};
 
     bool operator==(const Fleet&) const = default;
   };
@@ -121,9 +121,9 @@
     /// engine or service.
     std::string kind{"engine"};
     /// Base URLs of the replicas on this host, separated by commas.
-    std::vector<std::string> replicas{{}};
+    std::vector<std::string> replicas{};
     /// Models that the replicas serve, separated by commas.
-    std::vector<std::string> models{{}};
+    std::vector<std::string> models{};
     /// Streams that one replica runs at once.
     std::uint32_t slots{8};
     /// Whether the engine refuses an order with an old fencing number.
--- a/Meta/generate.py
+++ b/Meta/generate.py
@@ -65,7 +65,7 @@
     if key["type"] == "string":
         return '"%s"' % (value or "")
     if key["type"] == "list":
-        return "{%s}" % ", ".join('"%s"' % item for item in value or [])
+        return ", ".join('"%s"' % item for item in value or [])
     if key["type"] == "bool":
         return "true" if value else "false"
     return str(value if value is not None else 0)
--- a/Tests/LibSettings/settings_test.cc
+++ b/Tests/LibSettings/settings_test.cc
@@ -29,6 +29,14 @@
   STRCMP_EQUAL("", ErrorOf(kValidEntry).c_str());
 }
 
+// Guards against a list that holds one empty name by default.
+TEST(EntrySettings_Parsing, ListThatIsNotSetIsEmpty) {
+  const auto settings = ParseEntrySettings(*ParseIni("entry.ini", kValidEntry));
+  CHECK(settings.has_value());
+  CHECK(settings->fleet.entries.empty());
+  CHECK(settings->fleet.daemons.empty());
+}
+
 // Guards against a misspelt key that is silently ignored.
 TEST(EntrySettings_Parsing, UnknownKeyNamesLineAndNearestKey) {
   const std::string error =
--- a/Utilities/Control/rules_wait.cc
+++ b/Utilities/Control/rules_wait.cc
@@ -128,8 +128,10 @@
                     " is published but not yet in force everywhere");
   }
   if (!line.is_json()) {
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+        MonotonicNow() - start);
     std::cout << "version " << version << " is in force everywhere after "
-              << ToSeconds(MonotonicNow() - start) << " s\n";
+              << elapsed.count() << " ms\n";
   }
   return ControlExit::kDone;
 }
