--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -38,15 +38,23 @@
     std::string log_url{""};
     /// URL of the platform's host list.
     std::string hosts_url{""};
+    /// Whether the entry stays unready until it has a version of the rules.
+    bool require_rules{false};
+    /// Interval at which the rules are read from the log and asked of the other
+    /// entries.
+    std::chrono::milliseconds rules_poll{1000};
+    /// Interval at which the rules are carried forward; well below the time
+    /// that the log keeps a record.
+    std::chrono::milliseconds rules_carry{3600000};
 
     bool operator==(const Platform&) const = default;
   };
 
   struct Fleet {
     /// Addresses of the daemons, IP:port, separated by commas.
-    std::vector<std::string> daemons{{}};
+    std::vector<std::string> daemons{};
     /// Internal addresses of the other entries, IP:port, separated by commas.
-    std::vector<std::string> entries{{}};
+    std::vector<std::string> entries{};
 
     bool operator==(const Fleet&) const = default;
   };
@@ -169,9 +177,9 @@
     /// engine or service.
     std::string kind{"engine"};
     /// Base URLs of the replicas on this host, separated by commas.
-    std::vector<std::string> replicas{{}};
+    std::vector<std::string> replicas{};
     /// Models that the replicas serve, separated by commas.
-    std::vector<std::string> models{{}};
+    std::vector<std::string> models{};
     /// Streams that one replica runs at once.
     std::uint32_t slots{8};
     /// Whether the engine refuses an order with an old fencing number.
--- a/Services/Entry/peer_link.cc
+++ b/Services/Entry/peer_link.cc
@@ -30,23 +30,23 @@
       incarnation(incarnation),
       timer(io.context()) {}
 
-Result<void> PeerLink::Start(std::function<messages::Heartbeat()> heartbeat,
+Result<void> PeerLink::Start(InternalServer& internal_server,
+                             std::function<messages::Heartbeat()> heartbeat,
                              QueryHandler on_query) {
   this->make_heartbeat = std::move(heartbeat);
   this->on_query = std::move(on_query);
   this->workers = std::make_unique<WorkerPool>(kQueryThreads);
+  this->AddQueryHandler(internal_server);
+  TRY(this->Listen(internal_server));
+  boost::asio::post(this->io.context(), [this] { this->SendHeartbeats(); });
+  return {};
+}
+
+Result<void> PeerLink::Listen(InternalServer& internal_server) {
   const auto& host = this->settings.host;
   for (int tries = 1;; ++tries) {
-    TRY_ASSIGN(this->server,
-               FrameServer::Listen(
-                   this->io.context(), host.address, host.internal_port,
-                   {.on_open = [](const auto&) {},
-                    .on_frame =
-                        [this](const auto& connection, const Frame& frame) {
-                          this->OnServerFrame(connection, frame);
-                        },
-                    .on_closed = [](const auto&, const auto&) {}}));
-    this->port = this->server->port();
+    TRY(internal_server.Start(host.address, host.internal_port));
+    this->port = internal_server.port();
     auto opened = HeartbeatSocket::Open(
         this->io.context(), host.address, this->port,
         [this](const messages::Heartbeat& received, const std::string& from) {
@@ -54,15 +54,22 @@
         });
     if (opened) {
       this->socket = std::move(*opened);
-      break;
+      return {};
     }
-    this->server->Close();
+    internal_server.Stop();
     if (host.internal_port != 0 || tries == kPortTries) {
       return tl::unexpected(std::move(opened).error());
     }
   }
-  boost::asio::post(this->io.context(), [this] { this->SendHeartbeats(); });
-  return {};
+}
+
+void PeerLink::AddQueryHandler(InternalServer& internal_server) {
+  internal_server.AddHandler<messages::PartitionQuery>(
+      [this](const auto& connection, const auto& query, auto correlation) {
+        this->workers->Submit([this, connection, query, correlation] {
+          connection->Send(MakeFrame(this->on_query(query), correlation));
+        });
+      });
 }
 
 void PeerLink::Stop() {
@@ -78,7 +85,6 @@
   if (this->socket != nullptr) {
     // Tells the others at once that this entry leaves.
     this->SendHeartbeats();
-    this->server->Close();
   }
   for (const auto& [address, client] : stopped) {
     client->Stop();
@@ -212,24 +218,6 @@
   }
 }
 
-void PeerLink::OnServerFrame(const std::shared_ptr<Connection>& connection,
-                             const Frame& frame) {
-  if (frame.type != messages::MessageType::kPartitionQuery) {
-    return;
-  }
-  auto query = Decode<messages::PartitionQuery>(frame.body);
-  if (!query) {
-    LogEvent(Event::kFrameRejected,
-             {{"peer", connection->peer()}, {"reason", query.error().message}});
-    connection->Close(query.error().message);
-    return;
-  }
-  this->workers->Submit([this, connection, query = std::move(*query),
-                         correlation = frame.correlation] {
-    connection->Send(MakeFrame(this->on_query(query), correlation));
-  });
-}
-
 void PeerLink::OnReply(const Frame& frame) {
   if (frame.type != messages::MessageType::kPartitionReply) {
     return;
--- a/Services/Entry/peer_link.h
+++ b/Services/Entry/peer_link.h
@@ -14,12 +14,12 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "Entry/internal_server.h"
 #include "LibCore/result.h"
 #include "LibCore/time.h"
 #include "LibCore/worker_pool.h"
 #include "LibLedger/partition_owner.h"
 #include "LibNetwork/frame_client.h"
-#include "LibNetwork/frame_server.h"
 #include "LibNetwork/heartbeat_socket.h"
 #include "LibNetwork/io_thread.h"
 #include "LibSettings/settings.h"
@@ -38,9 +38,11 @@
            const EntrySettings& settings,
            std::uint64_t incarnation);
 
-  /// Opens the ports and sends heartbeats made by `heartbeat`, to which name,
-  /// incarnation and port are added. `on_query` runs on worker threads.
-  Result<void> Start(std::function<messages::Heartbeat()> heartbeat,
+  /// Starts `internal_server`, to which it adds its handler, opens the UDP port
+  /// of the same number and sends heartbeats made by `heartbeat`, to which
+  /// name, incarnation and port are added. `on_query` runs on worker threads.
+  Result<void> Start(InternalServer& internal_server,
+                     std::function<messages::Heartbeat()> heartbeat,
                      QueryHandler on_query);
   void Stop();
 
@@ -55,8 +57,6 @@
   /// Sends a query whose reply does not matter.
   void Tell(const std::string& name, const messages::PartitionQuery& query);
 
-  std::uint16_t internal_port() const { return this->port; }
-
  private:
   struct Peer {
     PeerView view;
@@ -69,8 +69,9 @@
 
   void OnHeartbeat(const messages::Heartbeat& heartbeat,
                    const std::string& from_address);
-  void OnServerFrame(const std::shared_ptr<Connection>& connection,
-                     const Frame& frame);
+  /// Opens the TCP and the UDP port.
+  Result<void> Listen(InternalServer& internal_server);
+  void AddQueryHandler(InternalServer& internal_server);
   void OnReply(const Frame& frame);
   void OnClosed(const std::string& address);
   void SendHeartbeats();
@@ -82,7 +83,6 @@
   std::function<messages::Heartbeat()> make_heartbeat;
   QueryHandler on_query;
   std::uint16_t port = 0;
-  std::shared_ptr<FrameServer> server;
   std::shared_ptr<HeartbeatSocket> socket;
   boost::asio::steady_timer timer;
   std::unique_ptr<WorkerPool> workers;
