--- /dev/null
+++ b/Libraries/LibPolicy/batch_order.cc
@@ -0,0 +1,164 @@
+#include "LibPolicy/batch_order.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+namespace crocus {
+
+namespace {
+
+/// An item this many times longer than the median job's is long.
+constexpr double kLongFactor = 8;
+
+/// Slot seconds, divided by the share, that a workspace may be served ahead of
+/// the others for the sake of an urgent job.
+constexpr double kUrgentLead = 600;
+
+/// A job is urgent if the time left is below this multiple of the time it
+/// needs; throughput varies with the online load.
+constexpr double kUrgentMargin = 1.25;
+
+constexpr double kMillisecondsPerSecond = 1000;
+
+double RemainingSeconds(const JobSummary& job) {
+  return static_cast<double>(job.remaining_items + job.running_items) *
+         job.item_seconds;
+}
+
+/// Median of the item times of the jobs with items left.
+double TypicalItemSeconds(std::span<const JobSummary> jobs) {
+  std::vector<double> seconds;
+  for (const auto& job : jobs) {
+    if (job.remaining_items + job.running_items > 0) {
+      seconds.push_back(job.item_seconds);
+    }
+  }
+  if (seconds.empty()) {
+    return 0;
+  }
+  // The lower median: with two jobs, the shorter one is typical.
+  const auto middle =
+      seconds.begin() + static_cast<std::ptrdiff_t>((seconds.size() - 1) / 2);
+  std::nth_element(seconds.begin(), middle, seconds.end());
+  return *middle;
+}
+
+}  // namespace
+
+BatchOrder::BatchOrder(BatchOrderOptions options)
+    : options(std::move(options)) {}
+
+std::optional<std::size_t> BatchOrder::NextJob(std::span<const JobSummary> jobs,
+                                               double throughput,
+                                               std::int64_t now_ms) {
+  const double typical = TypicalItemSeconds(jobs);
+  double running = 1;
+  double running_long = 1;
+  bool has_short = false;
+  for (const auto& job : jobs) {
+    const bool is_long = this->IsLong(job, typical);
+    running += static_cast<double>(job.running_items);
+    running_long += is_long ? static_cast<double>(job.running_items) : 0;
+    has_short = has_short || (job.remaining_items > 0 && !is_long);
+  }
+  const bool excludes_long =
+      has_short && running_long > this->options.long_share * running;
+
+  std::optional<std::size_t> best;
+  std::tuple<bool, double, std::int64_t, double> best_rank;
+  for (std::size_t index = 0; index < jobs.size(); ++index) {
+    const JobSummary& job = jobs[index];
+    if (job.remaining_items == 0 ||
+        (excludes_long && this->IsLong(job, typical))) {
+      continue;
+    }
+    // A workspace that comes back has no claim to the time it was away.
+    double& turn = this->served[job.workspace];
+    turn = std::max(turn, this->virtual_time);
+    const double left =
+        static_cast<double>(job.due_ms - now_ms) / kMillisecondsPerSecond;
+    const double needed =
+        throughput > 0 ? RemainingSeconds(job) / throughput : 0;
+    // A job that is late already has no more to lose than the others.
+    const bool is_urgent = left > 0 && left < needed * kUrgentMargin &&
+                           turn < this->virtual_time + kUrgentLead;
+    const std::tuple rank{!is_urgent, is_urgent ? left - needed : turn,
+                          job.due_ms, RemainingSeconds(job)};
+    if (!best || rank < best_rank) {
+      best = index;
+      best_rank = rank;
+    }
+  }
+  if (best) {
+    const JobSummary& job = jobs[*best];
+    double& turn = this->served[job.workspace];
+    if (const bool is_urgent = !std::get<0>(best_rank); !is_urgent) {
+      this->virtual_time = std::max(this->virtual_time, turn);
+    }
+    turn += job.item_seconds / this->Share(job.workspace);
+  }
+  return best;
+}
+
+FinishEstimate BatchOrder::EstimateFinish(std::span<const JobSummary> jobs,
+                                          const JobSummary& candidate,
+                                          double throughput,
+                                          std::int64_t now_ms) const {
+  if (throughput <= 0) {
+    return {.finish_ms = std::numeric_limits<std::int64_t>::max()};
+  }
+  std::vector<const JobSummary*> order;
+  for (const auto& job : jobs) {
+    order.push_back(&job);
+  }
+  std::stable_sort(order.begin(), order.end(),
+                   [](const JobSummary* left, const JobSummary* right) {
+                     return left->due_ms < right->due_ms;
+                   });
+  order.insert(
+      std::upper_bound(order.begin(), order.end(), &candidate,
+                       [](const JobSummary* left, const JobSummary* right) {
+                         return left->due_ms < right->due_ms;
+                       }),
+      &candidate);
+  FinishEstimate estimate;
+  const double added = RemainingSeconds(candidate);
+  double work = 0;
+  bool is_behind = false;
+  const auto finish_after = [&](double seconds) {
+    return now_ms + static_cast<std::int64_t>(seconds / throughput *
+                                              kMillisecondsPerSecond);
+  };
+  for (const JobSummary* job : order) {
+    work += RemainingSeconds(*job);
+    const std::int64_t finish = finish_after(work);
+    if (job == &candidate) {
+      estimate.finish_ms = finish;
+      estimate.meets_due = finish <= candidate.due_ms;
+      is_behind = true;
+    } else if (is_behind && estimate.delayed_job.empty() &&
+               finish > job->due_ms &&
+               finish_after(work - added) <= job->due_ms) {
+      estimate.delayed_job = job->job;
+    }
+  }
+  return estimate;
+}
+
+double BatchOrder::Share(const std::string& workspace) const {
+  const auto found = this->options.shares.find(workspace);
+  // A share of 0 must not stop a workspace for good.
+  constexpr double kLeastShare = 0.001;
+  return found == this->options.shares.end()
+             ? 1
+             : std::max(found->second, kLeastShare);
+}
+
+bool BatchOrder::IsLong(const JobSummary& job, double typical_seconds) const {
+  return job.item_seconds >= kLongFactor * typical_seconds;
+}
+
+}  // namespace crocus
--- a/Libraries/LibPolicy/gate.cc
+++ b/Libraries/LibPolicy/gate.cc
@@ -1,33 +1,104 @@
 #include "LibPolicy/gate.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace crocus {
 
 using messages::WorkKind;
 
+namespace {
+
+/// Time over which arrival and finish rates are averaged; online bursts last
+/// for seconds.
+constexpr double kRateWindowSeconds = 1;
+
+/// Batch items are asked for this long before their slots are expected to be
+/// free: the interval of load reports.
+constexpr double kAskAheadSeconds = 1;
+
+/// Weight of a new observation in the averages of token and suspension times.
+constexpr double kObservationWeight = 0.1;
+
+/// A waiting long request goes before shorter ones after this time.
+constexpr Duration kAgeLimit = std::chrono::seconds(5);
+
+/// Time between two changes of the batch limit, so that the effect of one is
+/// seen before the next.
+constexpr Duration kLimitInterval = std::chrono::milliseconds(200);
+
+/// The batch limit rises again below this share of the token target.
+constexpr double kRiseShare = 0.9;
+
+/// Moves an average rate on to `now` and adds one event.
+void CountEvent(double& rate, TimePoint& last, TimePoint now) {
+  const double elapsed = ToSeconds(now - last);
+  rate = rate * std::exp(-elapsed / kRateWindowSeconds) +
+         1 / kRateWindowSeconds;
+  last = now;
+}
+
+}  // namespace
+
+Gate::Gate(GateOptions options, std::shared_ptr<LengthPredictor> predictor)
+    : options(options),
+      predictor(std::move(predictor)),
+      batch_limit(options.slots) {}
+
+GateActions Gate::Configure(const GateOptions& changed, TimePoint now) {
+  this->options = changed;
+  this->batch_limit = std::min(this->batch_limit, changed.slots);
+  return this->Advance(now);
+}
+
 GateActions Gate::Submit(const GateWork& work, TimePoint now) {
-  (work.kind == WorkKind::kOnline ? this->online_queue : this->batch_queue)
-      .push_back(work);
+  const LengthHints hints{.workspace = work.workspace,
+                          .prompt_tokens = work.prompt_tokens,
+                          .token_limit = work.expected_tokens};
+  Entry entry{.work = work,
+              .predicted_tokens = this->predictor->PredictTokens(hints),
+              .is_long = this->predictor->PredictLong(hints),
+              .arrived = now};
+  if (work.kind == WorkKind::kOnline) {
+    CountEvent(this->arrival_rate, this->last_arrival, now);
+    this->online_queue.push_back(std::move(entry));
+  } else {
+    this->batch_queue.push_back(std::move(entry));
+  }
   return this->Advance(now);
 }
 
 GateActions Gate::Finish(const std::string& attempt, TimePoint now) {
-  this->running.erase(attempt);
+  if (const auto found = this->running.find(attempt);
+      found != this->running.end()) {
+    if (found->second.work.kind == WorkKind::kBatch) {
+      CountEvent(this->finish_rate, this->last_finish, now);
+    }
+    this->running.erase(found);
+  }
   if (const auto found = this->suspending.find(attempt);
       found != this->suspending.end()) {
-    this->batch_queue.push_front(found->second);
+    this->suspension_time +=
+        (ToSeconds(now - found->second.suspended_at) - this->suspension_time) *
+        kObservationWeight;
+    if (!found->second.is_complete) {
+      this->batch_queue.push_front(std::move(found->second));
+    }
     this->suspending.erase(found);
   }
   return this->Advance(now);
 }
 
 GateActions Gate::Remove(const std::string& attempt, TimePoint now) {
-  const auto matches = [&attempt](const GateWork& work) {
-    return work.attempt == attempt;
+  const auto matches = [&attempt](const Entry& entry) {
+    return entry.work.attempt == attempt;
   };
   std::erase_if(this->online_queue, matches);
   std::erase_if(this->batch_queue, matches);
+  // An attempt that completed while it was suspended may have been started
+  // again by Finish; it never reaches the engine.
+  this->running.erase(attempt);
   return this->Advance(now);
 }
 
@@ -35,58 +106,212 @@
   return this->Advance(now);
 }
 
+GateActions Gate::ReportTokens(const std::string& attempt,
+                               std::uint32_t tokens,
+                               TimePoint now) {
+  const auto found = this->running.find(attempt);
+  if (found == this->running.end() || tokens <= found->second.tokens) {
+    return {};
+  }
+  Entry& entry = found->second;
+  if (entry.has_token && entry.work.kind == WorkKind::kOnline) {
+    this->ObserveTokenTime((now - entry.last_token) /
+                           static_cast<int>(tokens - entry.tokens));
+  }
+  entry.tokens = tokens;
+  entry.last_token = now;
+  entry.has_token = true;
+  entry.is_long = entry.is_long || this->predictor->IsLong(tokens);
+  return this->AdjustLimit(now) ? this->Advance(now) : GateActions{};
+}
+
+void Gate::ReportAnswer(const std::string& attempt, std::uint32_t tokens) {
+  for (auto* attempts : {&this->running, &this->suspending}) {
+    if (const auto found = attempts->find(attempt); found != attempts->end()) {
+      const GateWork& work = found->second.work;
+      this->predictor->Observe({.workspace = work.workspace,
+                                .prompt_tokens = work.prompt_tokens,
+                                .token_limit = work.expected_tokens},
+                               tokens);
+      found->second.is_complete = true;
+    }
+  }
+}
+
 GateActions Gate::Advance(TimePoint now) {
   GateActions actions;
-  std::erase_if(this->online_queue, [&actions, now](const GateWork& work) {
-    if (work.deadline > now) {
+  std::erase_if(this->online_queue, [&actions, now](const Entry& entry) {
+    if (entry.work.deadline > now) {
       return false;
     }
-    actions.expired.push_back(work.attempt);
+    actions.expired.push_back(entry.work.attempt);
     return true;
   });
-  const auto occupied = [this] {
-    return this->running.size() + this->suspending.size();
+  this->StartOnline(actions, now);
+  this->SuspendBatch(actions, now);
+  this->StartBatch(actions, now);
+  return actions;
+}
+
+void Gate::StartOnline(GateActions& actions, TimePoint now) {
+  while (this->occupied() < this->options.slots) {
+    const auto entry = this->ChooseOnline(now);
+    if (entry == this->online_queue.end()) {
+      return;
+    }
+    this->Start(this->online_queue, entry, actions);
+  }
+}
+
+void Gate::SuspendBatch(GateActions& actions, TimePoint now) {
+  // One batch stream makes room for each online request that may start, and
+  // for each stream above the limit.
+  const auto must_suspend = [this] {
+    return this->suspending.size() < this->CountAdmissible() ||
+           this->CountRunning(WorkKind::kBatch) > this->BatchLimit();
   };
-  while (!this->online_queue.empty() && occupied() < this->options.slots) {
-    const GateWork work = this->online_queue.front();
-    this->online_queue.pop_front();
-    this->running[work.attempt] = work;
-    actions.start.push_back(work.attempt);
+  while (must_suspend()) {
+    const auto victim = this->ChooseVictim();
+    if (victim == this->running.end()) {
+      return;
+    }
+    victim->second.suspended_at = now;
+    actions.suspend.push_back(victim->first);
+    this->suspending.insert(*victim);
+    this->running.erase(victim);
   }
-  // One batch stream makes room for each online request that still waits.
-  for (auto entry = this->running.begin();
-       entry != this->running.end() &&
-       this->suspending.size() < this->online_queue.size();) {
-    if (entry->second.kind != WorkKind::kBatch) {
-      ++entry;
+}
+
+void Gate::StartBatch(GateActions& actions, TimePoint now) {
+  const std::uint32_t held_back = this->reserve(now);
+  while (this->CountAdmissible() == 0 && !this->batch_queue.empty() &&
+         this->occupied() + held_back < this->options.slots &&
+         this->batch_running() < this->BatchLimit()) {
+    this->Start(this->batch_queue, this->ChooseBatch(), actions);
+  }
+}
+
+void Gate::Start(Queue& queue, Queue::iterator entry, GateActions& actions) {
+  const std::string attempt = entry->work.attempt;
+  actions.start.push_back(attempt);
+  // The time to the first token of a run contains the prompt.
+  entry->has_token = false;
+  this->running[attempt] = std::move(*entry);
+  queue.erase(entry);
+}
+
+Gate::Queue::iterator Gate::ChooseOnline(TimePoint now) {
+  const bool long_may_start = this->long_running() < this->long_slots();
+  auto best = this->online_queue.end();
+  for (auto entry = this->online_queue.begin();
+       entry != this->online_queue.end(); ++entry) {
+    if (entry->is_long && !long_may_start) {
       continue;
     }
-    actions.suspend.push_back(entry->first);
-    this->suspending.insert(*entry);
-    entry = this->running.erase(entry);
+    if (!this->options.shortest_first || entry->arrived + kAgeLimit <= now) {
+      // The queue is in order of arrival.
+      return entry;
+    }
+    if (best == this->online_queue.end() ||
+        entry->predicted_tokens < best->predicted_tokens) {
+      best = entry;
+    }
+  }
+  return best;
+}
+
+Gate::Queue::iterator Gate::ChooseBatch() {
+  if (this->CountLong(WorkKind::kBatch) >= this->long_slots()) {
+    const auto short_entry =
+        std::find_if(this->batch_queue.begin(), this->batch_queue.end(),
+                     [](const Entry& entry) { return !entry.is_long; });
+    if (short_entry != this->batch_queue.end()) {
+      return short_entry;
+    }
   }
-  while (this->online_queue.empty() && !this->batch_queue.empty() &&
-         occupied() < this->options.slots) {
-    const GateWork work = this->batch_queue.front();
-    this->batch_queue.pop_front();
-    this->running[work.attempt] = work;
-    actions.start.push_back(work.attempt);
+  return this->batch_queue.begin();
+}
+
+std::map<std::string, Gate::Entry>::iterator Gate::ChooseVictim() {
+  // The stream with the least context costs the least to resume if the engine
+  // has dropped its cache meanwhile.
+  const auto context = [](const Entry& entry) {
+    return entry.work.prompt_tokens + entry.tokens;
+  };
+  auto best = this->running.end();
+  for (auto entry = this->running.begin(); entry != this->running.end();
+       ++entry) {
+    if (entry->second.work.kind == WorkKind::kBatch &&
+        (best == this->running.end() ||
+         context(entry->second) < context(best->second))) {
+      best = entry;
+    }
   }
-  return actions;
+  return best;
+}
+
+std::uint32_t Gate::CountAdmissible() const {
+  const auto waiting_long = static_cast<std::uint32_t>(
+      std::count_if(this->online_queue.begin(), this->online_queue.end(),
+                    [](const Entry& entry) { return entry.is_long; }));
+  const std::uint32_t held = std::min(this->long_running(), this->long_slots());
+  return this->online_waiting() - waiting_long +
+         std::min(waiting_long, this->long_slots() - held);
+}
+
+void Gate::ObserveTokenTime(Duration time) {
+  const double seconds = ToSeconds(time);
+  this->token_time = this->token_time == 0
+                         ? seconds
+                         : this->token_time + (seconds - this->token_time) *
+                                                  kObservationWeight;
+}
+
+bool Gate::AdjustLimit(TimePoint now) {
+  const double target = ToSeconds(this->options.token_target);
+  if (target == 0 || now < this->last_limit_change + kLimitInterval) {
+    return false;
+  }
+  if (this->token_time > target) {
+    const std::uint32_t streams =
+        std::min(this->batch_limit, this->batch_running());
+    this->batch_limit = streams > 0 ? streams - 1 : 0;
+  } else if (this->token_time < kRiseShare * target &&
+             this->batch_limit < this->options.slots) {
+    ++this->batch_limit;
+  } else {
+    return false;
+  }
+  this->last_limit_change = now;
+  return true;
+}
+
+std::uint32_t Gate::BatchLimit() const {
+  const bool has_online = this->online_running() + this->CountAdmissible() > 0;
+  return has_online ? this->batch_limit : this->options.slots;
 }
 
 std::uint32_t Gate::BatchRoom() const {
-  const std::size_t held = this->running.size() + this->suspending.size() +
-                           this->online_queue.size() + this->batch_queue.size();
-  const std::size_t capacity =
-      this->options.slots + this->options.batch_backlog;
+  const std::size_t held = this->occupied() + this->online_queue.size() +
+                           this->batch_queue.size();
+  const std::size_t backlog = std::max<std::size_t>(
+      this->options.batch_backlog,
+      static_cast<std::size_t>(this->finish_rate * kAskAheadSeconds));
+  const std::size_t capacity = this->options.slots + backlog;
   return static_cast<std::uint32_t>(held >= capacity ? 0 : capacity - held);
 }
 
 std::uint32_t Gate::CountRunning(WorkKind kind) const {
   return static_cast<std::uint32_t>(std::count_if(
       this->running.begin(), this->running.end(),
-      [kind](const auto& item) { return item.second.kind == kind; }));
+      [kind](const auto& item) { return item.second.work.kind == kind; }));
+}
+
+std::uint32_t Gate::CountLong(WorkKind kind) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      this->running.begin(), this->running.end(), [kind](const auto& item) {
+        return item.second.work.kind == kind && item.second.is_long;
+      }));
 }
 
 std::uint32_t Gate::online_running() const {
@@ -98,4 +323,24 @@
          static_cast<std::uint32_t>(this->suspending.size());
 }
 
+std::uint32_t Gate::long_running() const {
+  return this->CountLong(WorkKind::kOnline);
+}
+
+std::uint32_t Gate::long_slots() const {
+  const auto slots = static_cast<std::uint32_t>(
+      this->options.long_share * this->options.slots);
+  return std::clamp(slots, std::uint32_t{1},
+                    std::max(this->options.slots, std::uint32_t{1}));
+}
+
+std::uint32_t Gate::reserve(TimePoint now) const {
+  const double elapsed = ToSeconds(now - this->last_arrival);
+  const double rate =
+      this->arrival_rate * std::exp(-elapsed / kRateWindowSeconds);
+  return std::min(
+      this->options.reserve_slots,
+      static_cast<std::uint32_t>(std::lround(rate * this->suspension_time)));
+}
+
 }  // namespace crocus
--- a/Libraries/LibPolicy/gate.h
+++ b/Libraries/LibPolicy/gate.h
@@ -4,28 +4,47 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 #include "LibCore/time.h"
 #include "LibMessages/messages.h"
+#include "LibPolicy/length_predictor.h"
 
 namespace crocus {
 
 struct GateOptions {
   /// Streams that the engine runs at once.
   std::uint32_t slots = 8;
-  /// Batch items that may wait in the daemon for a free slot.
+  /// Batch items that may wait in the daemon for a free slot. Grows with the
+  /// rate at which batch items finish.
   std::uint32_t batch_backlog = 2;
+  /// Upper bound of the slots that batch work leaves free for online bursts
+  /// (EndpointRule::reserve_slots). The reserve in use follows the arrivals
+  /// expected while a suspension takes effect.
+  std::uint32_t reserve_slots = 1;
+  /// Largest share of the slots that long requests may hold
+  /// (EndpointRule::long_share); 1 is no bound.
+  double long_share = 0.5;
+  /// Time between online tokens that batch occupancy must keep
+  /// (EndpointRule::token_target); 0 is no bound.
+  Duration token_target = std::chrono::milliseconds(61);
+  /// Starts waiting online work by expected length instead of by arrival.
+  bool shortest_first = true;
+
+  bool operator==(const GateOptions&) const = default;
 };
 
 struct GateWork {
   std::string attempt;
   messages::WorkKind kind = messages::WorkKind::kOnline;
-  /// Expected length of the answer in tokens.
+  /// The caller's token limit; 0 if there is none.
   std::uint32_t expected_tokens = 0;
   /// When the caller's patience ends.
   TimePoint deadline{};
+  std::string workspace;
+  std::uint32_t prompt_tokens = 0;
 
   bool operator==(const GateWork&) const = default;
 };
@@ -43,11 +62,19 @@
 };
 
 /// Decides what one replica's engine sees. Online work goes first: it takes
-/// free slots at once and suspends batch streams when there are none. Not
-/// thread-safe.
+/// free slots at once and suspends batch streams when there are none. A long
+/// online request waits while long ones hold their share of the slots, even if
+/// batch streams run: those yield to a short request at once, the long one
+/// would not. Not thread-safe.
 class Gate {
  public:
-  explicit Gate(GateOptions options) : options(options) {}
+  /// `predictor` may be shared by the gates of one daemon.
+  explicit Gate(GateOptions options,
+                std::shared_ptr<LengthPredictor> predictor =
+                    std::make_shared<LengthPredictor>());
+
+  /// Puts new options in force; streams that run are not cut off.
+  GateActions Configure(const GateOptions& changed, TimePoint now);
 
   /// Takes new work.
   GateActions Submit(const GateWork& work, TimePoint now);
@@ -63,6 +90,16 @@
   /// Advances time: drops expired work and starts what fits.
   GateActions Tick(TimePoint now);
 
+  /// Reports that a running attempt has delivered `tokens` tokens in all. The
+  /// time between the tokens of online attempts bounds the batch occupancy,
+  /// and an attempt that turns out long counts as long from then on.
+  GateActions ReportTokens(const std::string& attempt,
+                           std::uint32_t tokens,
+                           TimePoint now);
+
+  /// Reports the length of a complete answer. Call before Finish.
+  void ReportAnswer(const std::string& attempt, std::uint32_t tokens);
+
   /// Batch items that the daemon should ask the entries for.
   std::uint32_t BatchRoom() const;
 
@@ -71,17 +108,70 @@
   std::uint32_t online_waiting() const {
     return static_cast<std::uint32_t>(this->online_queue.size());
   }
+  /// Long online attempts that hold a slot.
+  std::uint32_t long_running() const;
+  /// Slots that long online attempts may hold.
+  std::uint32_t long_slots() const;
+  /// Slots that batch work leaves free now.
+  std::uint32_t reserve(TimePoint now) const;
 
  private:
+  struct Entry {
+    GateWork work;
+    double predicted_tokens = 0;
+    bool is_long = false;
+    TimePoint arrived{};
+    std::uint32_t tokens = 0;
+    TimePoint last_token{};
+    bool has_token = false;
+    TimePoint suspended_at{};
+    bool is_complete = false;
+  };
+  using Queue = std::deque<Entry>;
+
   GateActions Advance(TimePoint now);
+  void StartOnline(GateActions& actions, TimePoint now);
+  void SuspendBatch(GateActions& actions, TimePoint now);
+  void StartBatch(GateActions& actions, TimePoint now);
+  void Start(Queue& queue, Queue::iterator entry, GateActions& actions);
+  /// The online attempt to start next; the end if none may start.
+  Queue::iterator ChooseOnline(TimePoint now);
+  Queue::iterator ChooseBatch();
+  std::map<std::string, Entry>::iterator ChooseVictim();
+  /// Waiting online attempts that may take a slot as soon as one is free.
+  std::uint32_t CountAdmissible() const;
+  std::uint32_t CountLong(messages::WorkKind kind) const;
+  std::uint32_t BatchLimit() const;
+  void ObserveTokenTime(Duration time);
+  /// True if the batch limit changed.
+  bool AdjustLimit(TimePoint now);
   std::uint32_t CountRunning(messages::WorkKind kind) const;
+  std::uint32_t occupied() const {
+    return static_cast<std::uint32_t>(this->running.size() +
+                                      this->suspending.size());
+  }
 
-  const GateOptions options;
-  std::deque<GateWork> online_queue;
-  std::deque<GateWork> batch_queue;
-  std::map<std::string, GateWork> running;
+  GateOptions options;
+  std::shared_ptr<LengthPredictor> predictor;
+  Queue online_queue;
+  Queue batch_queue;
+  std::map<std::string, Entry> running;
   /// Batch attempts that were told to stop but still hold their slot.
-  std::map<std::string, GateWork> suspending;
+  std::map<std::string, Entry> suspending;
+
+  /// Online arrivals per second, averaged over a second.
+  double arrival_rate = 0;
+  TimePoint last_arrival{};
+  /// Batch items finished per second, averaged likewise.
+  double finish_rate = 0;
+  TimePoint last_finish{};
+  /// Time from a suspension to the free slot, in seconds.
+  double suspension_time = 0;
+  /// Time between online tokens, in seconds.
+  double token_time = 0;
+  /// Batch streams allowed beside online streams.
+  std::uint32_t batch_limit;
+  TimePoint last_limit_change{};
 };
 
 }  // namespace crocus
--- /dev/null
+++ b/Libraries/LibPolicy/length_predictor.cc
@@ -0,0 +1,107 @@
+#include "LibPolicy/length_predictor.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace crocus {
+
+namespace {
+
+/// An answer this many times longer than the typical one is long.
+constexpr double kLongFactor = 8;
+
+/// Probability above which a request is treated as long. A short request that
+/// waits for a long slot costs less than a long one that takes a short slot.
+constexpr double kLongProbability = 0.3;
+
+/// Answers observed before any answer is called long.
+constexpr std::uint64_t kMinimumObservations = 16;
+
+/// Answers of one key before its history is used.
+constexpr double kMinimumWeight = 4;
+
+/// Answers that a history averages over.
+constexpr double kHistoryLength = 64;
+
+/// Keys kept at most. Workspaces are bounded by the rules; this bounds memory
+/// if names are not.
+constexpr std::size_t kMaximumKeys = 4096;
+
+double AverageStep(std::uint64_t observed) {
+  return 1 / std::min(static_cast<double>(observed), kHistoryLength * 4);
+}
+
+}  // namespace
+
+void LengthPredictor::Observe(const LengthHints& hints, std::uint32_t tokens) {
+  const double length = std::max<double>(tokens, 1);
+  ++this->observed;
+  this->log_tokens +=
+      (std::log(length) - this->log_tokens) * AverageStep(this->observed);
+  const auto add = [&](History& history) {
+    history.weight = std::min(history.weight + 1, kHistoryLength);
+    history.tokens += (length - history.tokens) / history.weight;
+    history.long_share +=
+        ((this->IsLong(length) ? 1 : 0) - history.long_share) / history.weight;
+  };
+  if (this->by_key.size() >= kMaximumKeys) {
+    this->by_key.clear();
+  }
+  if (this->by_workspace.size() >= kMaximumKeys) {
+    this->by_workspace.clear();
+  }
+  add(this->by_key[MakeKey(hints)]);
+  add(this->by_workspace[hints.workspace]);
+}
+
+double LengthPredictor::PredictTokens(const LengthHints& hints) const {
+  const History* history = this->FindHistory(hints);
+  double tokens =
+      history != nullptr ? history->tokens : this->typical_tokens();
+  if (hints.token_limit == 0) {
+    return tokens;
+  }
+  if (tokens == 0) {
+    tokens = hints.token_limit;
+  }
+  return std::min<double>(tokens, hints.token_limit);
+}
+
+bool LengthPredictor::PredictLong(const LengthHints& hints) const {
+  if (hints.token_limit != 0 && !this->IsLong(hints.token_limit)) {
+    return false;
+  }
+  const History* history = this->FindHistory(hints);
+  return history != nullptr && history->long_share >= kLongProbability;
+}
+
+bool LengthPredictor::IsLong(double tokens) const {
+  return this->observed >= kMinimumObservations &&
+         tokens >= kLongFactor * this->typical_tokens();
+}
+
+double LengthPredictor::typical_tokens() const {
+  return this->observed == 0 ? 0 : std::exp(this->log_tokens);
+}
+
+LengthPredictor::Key LengthPredictor::MakeKey(const LengthHints& hints) {
+  return {hints.workspace, std::bit_width(hints.prompt_tokens),
+          std::bit_width(hints.token_limit)};
+}
+
+const LengthPredictor::History* LengthPredictor::FindHistory(
+    const LengthHints& hints) const {
+  if (const auto found = this->by_key.find(MakeKey(hints));
+      found != this->by_key.end() && found->second.weight >= kMinimumWeight) {
+    return &found->second;
+  }
+  if (const auto found = this->by_workspace.find(hints.workspace);
+      found != this->by_workspace.end() &&
+      found->second.weight >= kMinimumWeight) {
+    return &found->second;
+  }
+  return nullptr;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibSimulation/event_queue.h
@@ -0,0 +1,63 @@
+#ifndef LIBSIMULATION_EVENT_QUEUE_H_
+#define LIBSIMULATION_EVENT_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// Runs actions in virtual time. Actions due at the same time run in the order
+/// in which they were added, so a run depends on nothing but its inputs.
+class EventQueue {
+ public:
+  using Action = std::function<void()>;
+
+  TimePoint now() const { return this->time; }
+
+  /// Adds an action; a time in the past counts as now.
+  void At(TimePoint due, Action action) {
+    this->events.push({.due = due < this->time ? this->time : due,
+                       .sequence = this->next_sequence++,
+                       .action = std::move(action)});
+  }
+  void After(Duration delay, Action action) {
+    this->At(this->time + delay, std::move(action));
+  }
+
+  /// Runs every action due until `end` and leaves the time there.
+  void RunUntil(TimePoint end) {
+    while (!this->events.empty() && this->events.top().due <= end) {
+      // The action may add events, which can move the top.
+      const Event event = this->events.top();
+      this->events.pop();
+      this->time = event.due;
+      event.action();
+    }
+    this->time = end;
+  }
+
+ private:
+  struct Event {
+    TimePoint due;
+    std::uint64_t sequence;
+    Action action;
+
+    bool operator<(const Event& other) const {
+      return std::pair(other.due, other.sequence) <
+             std::pair(this->due, this->sequence);
+    }
+  };
+
+  TimePoint time{};
+  std::uint64_t next_sequence = 0;
+  std::priority_queue<Event> events;
+};
+
+}  // namespace crocus
+
+#endif  // LIBSIMULATION_EVENT_QUEUE_H_
--- /dev/null
+++ b/Libraries/LibSimulation/route_policy.cc
@@ -0,0 +1,49 @@
+#include "LibSimulation/route_policy.h"
+
+#include <algorithm>
+
+namespace crocus {
+
+namespace {
+
+/// Positions of the replicas in the entry's region; all if it has none.
+std::vector<std::size_t> Nearby(const RouteRequest& request,
+                                const std::vector<ReplicaView>& replicas) {
+  std::vector<std::size_t> positions;
+  std::vector<std::size_t> all;
+  for (std::size_t position = 0; position < replicas.size(); ++position) {
+    all.push_back(position);
+    if (replicas[position].region == request.region) {
+      positions.push_back(position);
+    }
+  }
+  return positions.empty() ? all : positions;
+}
+
+}  // namespace
+
+std::optional<std::size_t> RoundRobinRoute::Choose(
+    const RouteRequest& request,
+    const std::vector<ReplicaView>& replicas,
+    TimePoint) {
+  const auto positions = Nearby(request, replicas);
+  if (positions.empty()) {
+    return std::nullopt;
+  }
+  return positions[this->next++ % positions.size()];
+}
+
+std::optional<std::size_t> LeastOutstandingRoute::Choose(
+    const RouteRequest& request,
+    const std::vector<ReplicaView>& replicas,
+    TimePoint) {
+  const auto positions = Nearby(request, replicas);
+  const auto best = std::min_element(
+      positions.begin(), positions.end(),
+      [&replicas](std::size_t left, std::size_t right) {
+        return replicas[left].outstanding < replicas[right].outstanding;
+      });
+  return best == positions.end() ? std::nullopt : std::optional(*best);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibSimulation/route_policy.h
@@ -0,0 +1,100 @@
+#ifndef LIBSIMULATION_ROUTE_POLICY_H_
+#define LIBSIMULATION_ROUTE_POLICY_H_
+
+#include <concepts>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// A replica as one entry sees it.
+struct ReplicaView {
+  std::size_t index = 0;
+  std::string zone;
+  std::string region;
+  std::uint32_t slots = 0;
+  /// Attempts of this entry that have not ended.
+  std::uint32_t outstanding = 0;
+  /// The engine's own report, late.
+  std::uint32_t reported_running = 0;
+  std::uint32_t reported_waiting = 0;
+};
+
+struct RouteRequest {
+  std::string workspace;
+  std::string prefix;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t token_limit = 0;
+  /// Place of the entry.
+  std::string zone;
+  std::string region;
+};
+
+/// Chooses replicas for the requests of one entry.
+template <typename T>
+concept RoutePolicy = std::copyable<T> &&
+    requires(T policy,
+             const RouteRequest& request,
+             const std::vector<ReplicaView>& replicas,
+             std::size_t replica,
+             Duration wait,
+             bool is_complete,
+             TimePoint now) {
+  /// Position in `replicas`; nothing if none is fit.
+  {
+    policy.Choose(request, replicas, now)
+    } -> std::same_as<std::optional<std::size_t>>;
+  /// Time without a first token after which a second attempt is sent; nothing
+  /// if there must be none. Counts against the policy's own budget.
+  {
+    policy.HedgeDelay(request, replica, now)
+    } -> std::same_as<std::optional<Duration>>;
+  policy.ObserveSent(replica, now);
+  policy.ObserveFirstToken(replica, wait, now);
+  policy.ObserveEnd(replica, is_complete, now);
+};
+
+/// Baseline: the replicas of the entry's region in turn.
+class RoundRobinRoute {
+ public:
+  std::optional<std::size_t> Choose(const RouteRequest& request,
+                                    const std::vector<ReplicaView>& replicas,
+                                    TimePoint now);
+  std::optional<Duration> HedgeDelay(const RouteRequest&,
+                                     std::size_t,
+                                     TimePoint) {
+    return std::nullopt;
+  }
+  void ObserveSent(std::size_t, TimePoint) {}
+  void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
+  void ObserveEnd(std::size_t, bool, TimePoint) {}
+
+ private:
+  std::size_t next = 0;
+};
+
+/// Baseline: the replica of the entry's region with the fewest attempts of
+/// this entry; the first of equal ones.
+class LeastOutstandingRoute {
+ public:
+  std::optional<std::size_t> Choose(const RouteRequest& request,
+                                    const std::vector<ReplicaView>& replicas,
+                                    TimePoint now);
+  std::optional<Duration> HedgeDelay(const RouteRequest&,
+                                     std::size_t,
+                                     TimePoint) {
+    return std::nullopt;
+  }
+  void ObserveSent(std::size_t, TimePoint) {}
+  void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
+  void ObserveEnd(std::size_t, bool, TimePoint) {}
+};
+
+}  // namespace crocus
+
+#endif  // LIBSIMULATION_ROUTE_POLICY_H_
--- /dev/null
+++ b/Libraries/LibSimulation/workload.cc
@@ -0,0 +1,183 @@
+#include "LibSimulation/workload.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "LibCore/random.h"
+
+namespace crocus {
+
+namespace {
+
+/// How much longer the few long pieces of work run.
+constexpr std::uint32_t kLongFactor = 30;
+
+constexpr std::uint32_t kShortLimit = 256;
+constexpr std::uint32_t kLongLimit = 8192;
+
+/// Short requests whose caller sets the same token limit as the long ones.
+constexpr double kLooseLimitShare = 0.3;
+
+/// Long requests that come from the workspace known for them; the others look
+/// like short ones until they run.
+constexpr double kTellingShare = 0.9;
+
+/// Separates the random sequences of arrivals, jobs and long requests.
+constexpr std::uint64_t kJobStream = 0x9e3779b97f4a7c15;
+constexpr std::uint64_t kLongStream = 0xbf58476d1ce4e5b9;
+
+std::uint32_t SpreadAround(double mean, Random& random) {
+  // Between a quarter and seven quarters of the mean.
+  return static_cast<std::uint32_t>(
+      std::lround(mean * (0.25 + 1.5 * random.Unit())));
+}
+
+Profile MakeCalloway() {
+  return {.name = "calloway",
+          .regions = {"waco-a", "denton-a", "houston-a"},
+          .endpoint = "proof-models",
+          .replicas = 9,
+          .service = "order-desk",
+          .service_replicas = 3,
+          .delays = {.same_zone = std::chrono::microseconds(100),
+                     .between_zones = std::chrono::microseconds(400),
+                     .between_regions = std::chrono::milliseconds(6),
+                     .to_clients = std::chrono::milliseconds(1)},
+          .engine = {.slots = 8,
+                     .token_time = std::chrono::milliseconds(40),
+                     .prompt_token_time = std::chrono::microseconds(200)},
+          .quiet_rate = 4.5,
+          .burst_rate = 16,
+          .answer_tokens = 60,
+          .item_tokens = 120,
+          .items_per_job = 2000,
+          .job_due = std::chrono::minutes(20),
+          .workspaces = {"mats", "orders", "press"}};
+}
+
+Profile MakeTesfaye() {
+  return {.name = "tesfaye",
+          .regions = {"addis-a", "bahirdar-a", "hawassa-a"},
+          .endpoint = "bench-llm",
+          .replicas = 18,
+          .service = "post-desk",
+          .service_replicas = 3,
+          .delays = {.same_zone = std::chrono::microseconds(200),
+                     .between_zones = std::chrono::microseconds(1200),
+                     .between_regions = std::chrono::milliseconds(8),
+                     .to_clients = std::chrono::milliseconds(4)},
+          .engine = {.slots = 8,
+                     .token_time = std::chrono::milliseconds(38),
+                     .prompt_token_time = std::chrono::microseconds(250)},
+          .quiet_rate = 10,
+          .burst_rate = 38,
+          .quiet_seconds = 8,
+          .burst_seconds = 4,
+          .answer_tokens = 55,
+          .item_tokens = 70,
+          .items_per_job = 300,
+          .job_due = std::chrono::minutes(10),
+          .workspaces = {"triage", "shade", "recall", "front"}};
+}
+
+}  // namespace
+
+std::optional<Profile> FindProfile(const std::string& name) {
+  for (const Profile& profile : {MakeCalloway(), MakeTesfaye()}) {
+    if (profile.name == name) {
+      return profile;
+    }
+  }
+  return std::nullopt;
+}
+
+std::vector<OnlineArrival> GenerateOnline(const Profile& profile,
+                                          const WorkloadOptions& options) {
+  Random random(options.seed);
+  Random long_random(options.seed ^ kLongStream);
+  std::vector<OnlineArrival> arrivals;
+  const double horizon = ToSeconds(options.horizon);
+  bool is_burst = false;
+  double phase_end = random.Exponential(profile.quiet_seconds);
+  double time = 0;
+  while (true) {
+    const double rate =
+        options.load * (is_burst ? profile.burst_rate : profile.quiet_rate);
+    const double next = time + random.Exponential(1 / rate);
+    if (next > phase_end) {
+      // The exponential gap has no memory, so it starts anew with the phase.
+      time = phase_end;
+      is_burst = !is_burst;
+      phase_end += random.Exponential(is_burst ? profile.burst_seconds
+                                               : profile.quiet_seconds);
+      if (time > horizon) {
+        break;
+      }
+      continue;
+    }
+    time = next;
+    if (time > horizon) {
+      break;
+    }
+    OnlineArrival arrival{
+        .time = TimePoint{} + FromSeconds(time),
+        .region = random.Below(profile.regions.size()),
+        .workspace =
+            profile.workspaces[random.Below(profile.workspaces.size())]};
+    const std::uint64_t task = random.Below(4);
+    arrival.prefix = arrival.workspace + "/" + std::to_string(task);
+    arrival.prefix_tokens = 300;
+    arrival.prompt_tokens =
+        arrival.prefix_tokens + SpreadAround(400, random);
+    arrival.answer_tokens = std::min(
+        SpreadAround(profile.answer_tokens, random), kShortLimit);
+    arrival.token_limit =
+        random.Chance(kLooseLimitShare) ? kLongLimit : kShortLimit;
+    arrivals.push_back(arrival);
+    // Long requests come on top: as many as give the share of all requests.
+    const double odds = options.long_share / (1 - options.long_share);
+    if (long_random.Chance(odds)) {
+      OnlineArrival longer = arrival;
+      longer.time += Duration(long_random.Below(500000));
+      longer.region = long_random.Below(profile.regions.size());
+      longer.answer_tokens *= kLongFactor;
+      longer.token_limit = kLongLimit;
+      longer.is_long = true;
+      longer.patience = std::chrono::minutes(10);
+      if (long_random.Chance(kTellingShare)) {
+        longer.workspace = "brands";
+        longer.prefix = "brands/" + std::to_string(task);
+        longer.prompt_tokens += 600;
+      }
+      arrivals.push_back(longer);
+    }
+  }
+  std::stable_sort(arrivals.begin(), arrivals.end(),
+                   [](const OnlineArrival& left, const OnlineArrival& right) {
+                     return left.time < right.time;
+                   });
+  return arrivals;
+}
+
+BatchJob GenerateJob(const Profile& profile,
+                     std::uint64_t seed,
+                     std::uint64_t index,
+                     std::int64_t now_ms) {
+  Random random(seed ^ (kJobStream * (index + 1)));
+  BatchJob job{
+      .name = "job-" + std::to_string(index),
+      .workspace = profile.workspaces[index % profile.workspaces.size()],
+      .due_ms = now_ms + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             profile.job_due)
+                             .count(),
+      .prefix_tokens = 500,
+      .item_tokens = profile.item_tokens};
+  for (std::uint32_t item = 0; item < profile.items_per_job; ++item) {
+    job.items.push_back(
+        {.prompt_tokens = job.prefix_tokens + SpreadAround(150, random),
+         .answer_tokens = SpreadAround(profile.item_tokens, random)});
+  }
+  return job;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibSimulation/workload.h
@@ -0,0 +1,110 @@
+#ifndef LIBSIMULATION_WORKLOAD_H_
+#define LIBSIMULATION_WORKLOAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+#include "LibSimulation/model_engine.h"
+
+namespace crocus {
+
+/// One-way delays.
+struct NetworkDelays {
+  Duration same_zone = std::chrono::microseconds(100);
+  Duration between_zones = std::chrono::microseconds(400);
+  Duration between_regions = std::chrono::milliseconds(6);
+  Duration to_clients = std::chrono::milliseconds(1);
+
+  bool operator==(const NetworkDelays&) const = default;
+};
+
+/// A fleet and the load on it.
+struct Profile {
+  std::string name;
+  std::vector<std::string> regions;
+  std::uint32_t zones_per_region = 2;
+  std::string endpoint;
+  std::uint32_t replicas = 9;
+  std::string service;
+  std::uint32_t service_replicas = 3;
+  NetworkDelays delays;
+  ModelEngineOptions engine;
+  /// Online requests per second outside and within bursts, of the fleet.
+  double quiet_rate = 4.5;
+  double burst_rate = 16;
+  double quiet_seconds = 6;
+  double burst_seconds = 3;
+  /// Mean answer of a short request, and of a batch item.
+  double answer_tokens = 60;
+  double item_tokens = 80;
+  std::uint32_t items_per_job = 400;
+  /// From the submission of a job to its due time.
+  Duration job_due = std::chrono::minutes(10);
+  /// Workspaces of online callers and of batch jobs.
+  std::vector<std::string> workspaces;
+};
+
+/// Nothing if there is no profile of this name ("calloway", "tesfaye").
+std::optional<Profile> FindProfile(const std::string& name);
+
+struct OnlineArrival {
+  /// At the client.
+  TimePoint time{};
+  /// Index of the region whose entry the load balancer picks.
+  std::size_t region = 0;
+  std::string workspace;
+  std::string prefix;
+  std::uint32_t prefix_tokens = 0;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+  std::uint32_t token_limit = 0;
+  bool is_long = false;
+  Duration patience = std::chrono::seconds(30);
+
+  bool operator==(const OnlineArrival&) const = default;
+};
+
+struct WorkloadOptions {
+  std::uint64_t seed = 1;
+  Duration horizon = std::chrono::minutes(10);
+  /// Share of the requests that run 30 times longer. The short requests are
+  /// the same for any share.
+  double long_share = 0;
+  /// Multiplies the request rates.
+  double load = 1;
+};
+
+/// Requests in order of time.
+std::vector<OnlineArrival> GenerateOnline(const Profile& profile,
+                                          const WorkloadOptions& options);
+
+struct BatchItem {
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t answer_tokens = 0;
+
+  bool operator==(const BatchItem&) const = default;
+};
+
+struct BatchJob {
+  std::string name;
+  std::string workspace;
+  std::int64_t due_ms = 0;
+  std::uint32_t prefix_tokens = 0;
+  double item_tokens = 0;
+  std::vector<BatchItem> items;
+
+  bool operator==(const BatchJob&) const = default;
+};
+
+/// The job with this index; jobs are independent of each other.
+BatchJob GenerateJob(const Profile& profile,
+                     std::uint64_t seed,
+                     std::uint64_t index,
+                     std::int64_t now_ms);
+
+}  // namespace crocus
+
+#endif  // LIBSIMULATION_WORKLOAD_H_
