--- a/Libraries/LibPolicy/gate.cc
+++ b/Libraries/LibPolicy/gate.cc
@@ -21,8 +21,13 @@
 /// Weight of a new observation in the averages of token and suspension times.
 constexpr double kObservationWeight = 0.1;
 
-/// A waiting long request goes before shorter ones after this time.
-constexpr Duration kAgeLimit = std::chrono::seconds(5);
+/// A waiting long request goes before short ones after this time.
+constexpr Duration kAgeLimit = std::chrono::seconds(10);
+
+/// A long online stream runs at least this long between two suspensions, so
+/// that it gets on under a steady load of short ones. With 5 s, short requests
+/// waited up to that long.
+constexpr Duration kLeastRun = std::chrono::seconds(1);
 
 /// Time between two changes of the batch limit, so that the effect of one is
 /// seen before the next.
@@ -59,7 +64,7 @@
   Entry entry{.work = work,
               .predicted_tokens = this->predictor->PredictTokens(hints),
               .is_long = this->predictor->PredictLong(hints),
-              .arrived = now};
+              .queued = now};
   if (work.kind == WorkKind::kOnline) {
     CountEvent(this->arrival_rate, this->last_arrival, now);
     this->online_queue.push_back(std::move(entry));
@@ -83,7 +88,10 @@
         (ToSeconds(now - found->second.suspended_at) - this->suspension_time) *
         kObservationWeight;
     if (!found->second.is_complete) {
-      this->batch_queue.push_front(std::move(found->second));
+      found->second.queued = now;
+      (found->second.work.kind == WorkKind::kOnline ? this->online_queue
+                                                    : this->batch_queue)
+          .push_front(std::move(found->second));
     }
     this->suspending.erase(found);
   }
@@ -141,14 +149,14 @@
 GateActions Gate::Advance(TimePoint now) {
   GateActions actions;
   std::erase_if(this->online_queue, [&actions, now](const Entry& entry) {
-    if (entry.work.deadline > now) {
+    if (entry.work.deadline > now || entry.has_started) {
       return false;
     }
     actions.expired.push_back(entry.work.attempt);
     return true;
   });
   this->StartOnline(actions, now);
-  this->SuspendBatch(actions, now);
+  this->SuspendStreams(actions, now);
   this->StartBatch(actions, now);
   return actions;
 }
@@ -159,26 +167,27 @@
     if (entry == this->online_queue.end()) {
       return;
     }
-    this->Start(this->online_queue, entry, actions);
+    this->Start(this->online_queue, entry, now, actions);
   }
 }
 
-void Gate::SuspendBatch(GateActions& actions, TimePoint now) {
+void Gate::SuspendStreams(GateActions& actions, TimePoint now) {
   // One batch stream makes room for each online request that may start, and
   // for each stream above the limit.
-  const auto must_suspend = [this] {
-    return this->suspending.size() < this->CountAdmissible() ||
-           this->CountRunning(WorkKind::kBatch) > this->BatchLimit();
-  };
-  while (must_suspend()) {
-    const auto victim = this->ChooseVictim();
+  while (this->suspending.size() < this->CountAdmissible() ||
+         this->CountRunning(WorkKind::kBatch) > this->BatchLimit()) {
+    const auto victim = this->ChooseBatchVictim();
     if (victim == this->running.end()) {
-      return;
+      break;
+    }
+    this->Suspend(victim, now, actions);
+  }
+  while (this->suspending.size() < this->CountWaitingShort()) {
+    const auto victim = this->ChooseLongVictim(now);
+    if (victim == this->running.end()) {
+      break;
     }
-    victim->second.suspended_at = now;
-    actions.suspend.push_back(victim->first);
-    this->suspending.insert(*victim);
-    this->running.erase(victim);
+    this->Suspend(victim, now, actions);
   }
 }
 
@@ -187,19 +196,33 @@
   while (this->CountAdmissible() == 0 && !this->batch_queue.empty() &&
          this->occupied() + held_back < this->options.slots &&
          this->batch_running() < this->BatchLimit()) {
-    this->Start(this->batch_queue, this->ChooseBatch(), actions);
+    this->Start(this->batch_queue, this->ChooseBatch(), now, actions);
   }
 }
 
-void Gate::Start(Queue& queue, Queue::iterator entry, GateActions& actions) {
+void Gate::Start(Queue& queue,
+                 Queue::iterator entry,
+                 TimePoint now,
+                 GateActions& actions) {
   const std::string attempt = entry->work.attempt;
   actions.start.push_back(attempt);
   // The time to the first token of a run contains the prompt.
   entry->has_token = false;
+  entry->has_started = true;
+  entry->started = now;
   this->running[attempt] = std::move(*entry);
   queue.erase(entry);
 }
 
+void Gate::Suspend(std::map<std::string, Entry>::iterator victim,
+                   TimePoint now,
+                   GateActions& actions) {
+  victim->second.suspended_at = now;
+  actions.suspend.push_back(victim->first);
+  this->suspending.insert(*victim);
+  this->running.erase(victim);
+}
+
 Gate::Queue::iterator Gate::ChooseOnline(TimePoint now) {
   const bool long_may_start = this->long_running() < this->long_slots();
   auto best = this->online_queue.end();
@@ -208,12 +231,13 @@
     if (entry->is_long && !long_may_start) {
       continue;
     }
-    if (!this->options.shortest_first || entry->arrived + kAgeLimit <= now) {
-      // The queue is in order of arrival.
+    if (entry->is_long && entry->queued + kAgeLimit <= now) {
       return entry;
     }
+    // Arrival order within the two classes: ordering short requests by their
+    // predicted length as well did not lower their p99.
     if (best == this->online_queue.end() ||
-        entry->predicted_tokens < best->predicted_tokens) {
+        (best->is_long && !entry->is_long)) {
       best = entry;
     }
   }
@@ -232,7 +256,7 @@
   return this->batch_queue.begin();
 }
 
-std::map<std::string, Gate::Entry>::iterator Gate::ChooseVictim() {
+std::map<std::string, Gate::Entry>::iterator Gate::ChooseBatchVictim() {
   // The stream with the least context costs the least to resume if the engine
   // has dropped its cache meanwhile.
   const auto context = [](const Entry& entry) {
@@ -250,13 +274,34 @@
   return best;
 }
 
+std::map<std::string, Gate::Entry>::iterator Gate::ChooseLongVictim(
+    TimePoint now) {
+  auto best = this->running.end();
+  for (auto entry = this->running.begin(); entry != this->running.end();
+       ++entry) {
+    const Entry& candidate = entry->second;
+    if (candidate.work.kind == WorkKind::kOnline && candidate.is_long &&
+        candidate.work.is_resumable &&
+        candidate.started + kLeastRun <= now &&
+        (best == this->running.end() ||
+         candidate.started < best->second.started)) {
+      best = entry;
+    }
+  }
+  return best;
+}
+
 std::uint32_t Gate::CountAdmissible() const {
-  const auto waiting_long = static_cast<std::uint32_t>(
-      std::count_if(this->online_queue.begin(), this->online_queue.end(),
-                    [](const Entry& entry) { return entry.is_long; }));
+  const std::uint32_t waiting_short = this->CountWaitingShort();
   const std::uint32_t held = std::min(this->long_running(), this->long_slots());
-  return this->online_waiting() - waiting_long +
-         std::min(waiting_long, this->long_slots() - held);
+  return waiting_short + std::min(this->online_waiting() - waiting_short,
+                                  this->long_slots() - held);
+}
+
+std::uint32_t Gate::CountWaitingShort() const {
+  return static_cast<std::uint32_t>(
+      std::count_if(this->online_queue.begin(), this->online_queue.end(),
+                    [](const Entry& entry) { return !entry.is_long; }));
 }
 
 void Gate::ObserveTokenTime(Duration time) {
--- a/Libraries/LibPolicy/gate.h
+++ b/Libraries/LibPolicy/gate.h
@@ -30,8 +30,6 @@
   /// Time between online tokens that batch occupancy must keep
   /// (EndpointRule::token_target); 0 is no bound.
   Duration token_target = std::chrono::milliseconds(61);
-  /// Starts waiting online work by expected length instead of by arrival.
-  bool shortest_first = true;
 
   bool operator==(const GateOptions&) const = default;
 };
@@ -45,13 +43,17 @@
   TimePoint deadline{};
   std::string workspace;
   std::uint32_t prompt_tokens = 0;
+  /// Whether a running online attempt may be cancelled at the engine and
+  /// resumed later; batch attempts always may. False for plain services and
+  /// for work that must not be repeated.
+  bool is_resumable = false;
 
   bool operator==(const GateWork&) const = default;
 };
 
 /// What the daemon must do, in this order.
 struct GateActions {
-  /// Batch attempts to cancel at the engine; the gate queues them again.
+  /// Attempts to cancel at the engine; the gate queues them again.
   std::vector<std::string> suspend;
   /// Attempts whose deadline passed before they started.
   std::vector<std::string> expired;
@@ -64,8 +66,8 @@
 /// Decides what one replica's engine sees. Online work goes first: it takes
 /// free slots at once and suspends batch streams when there are none. A long
 /// online request waits while long ones hold their share of the slots, even if
-/// batch streams run: those yield to a short request at once, the long one
-/// would not. Not thread-safe.
+/// batch streams run. A short request for which there is no batch stream to
+/// suspend suspends a long one that may be resumed. Not thread-safe.
 class Gate {
  public:
   /// `predictor` may be shared by the gates of one daemon.
@@ -120,7 +122,11 @@
     GateWork work;
     double predicted_tokens = 0;
     bool is_long = false;
-    TimePoint arrived{};
+    /// When it was queued last.
+    TimePoint queued{};
+    TimePoint started{};
+    /// It has been at the engine, so it cannot expire as not run.
+    bool has_started = false;
     std::uint32_t tokens = 0;
     TimePoint last_token{};
     bool has_token = false;
@@ -131,15 +137,23 @@
 
   GateActions Advance(TimePoint now);
   void StartOnline(GateActions& actions, TimePoint now);
-  void SuspendBatch(GateActions& actions, TimePoint now);
+  void SuspendStreams(GateActions& actions, TimePoint now);
   void StartBatch(GateActions& actions, TimePoint now);
-  void Start(Queue& queue, Queue::iterator entry, GateActions& actions);
+  void Start(Queue& queue,
+             Queue::iterator entry,
+             TimePoint now,
+             GateActions& actions);
+  void Suspend(std::map<std::string, Entry>::iterator victim,
+               TimePoint now,
+               GateActions& actions);
   /// The online attempt to start next; the end if none may start.
   Queue::iterator ChooseOnline(TimePoint now);
   Queue::iterator ChooseBatch();
-  std::map<std::string, Entry>::iterator ChooseVictim();
+  std::map<std::string, Entry>::iterator ChooseBatchVictim();
+  std::map<std::string, Entry>::iterator ChooseLongVictim(TimePoint now);
   /// Waiting online attempts that may take a slot as soon as one is free.
   std::uint32_t CountAdmissible() const;
+  std::uint32_t CountWaitingShort() const;
   std::uint32_t CountLong(messages::WorkKind kind) const;
   std::uint32_t BatchLimit() const;
   void ObserveTokenTime(Duration time);
@@ -156,7 +170,7 @@
   Queue online_queue;
   Queue batch_queue;
   std::map<std::string, Entry> running;
-  /// Batch attempts that were told to stop but still hold their slot.
+  /// Attempts that were told to stop but still hold their slot.
   std::map<std::string, Entry> suspending;
 
   /// Online arrivals per second, averaged over a second.
--- a/Libraries/LibSimulation/fleet_simulation.h
+++ b/Libraries/LibSimulation/fleet_simulation.h
@@ -175,6 +175,7 @@
     TimePoint last_token{};
     std::uint32_t tokens = 0;
     bool is_started = false;
+    bool is_suspended = false;
     bool is_cancelled = false;
     /// Ended at the daemon; the entry does not know yet.
     bool has_ended = false;
@@ -379,6 +380,7 @@
       work.workspace = arrival.workspace;
       work.expected_tokens = arrival.token_limit;
       work.deadline = arrival.time + arrival.patience;
+      work.is_resumable = true;
     } else {
       const BatchJob& job = this->jobs[attempt.owner].job;
       work.workspace = job.workspace + "/" + job.name;
@@ -407,6 +409,7 @@
     Replica& replica = *this->replicas[index];
     for (const auto& id : actions.suspend) {
       ++this->result.suspensions;
+      this->attempts.at(id).is_suspended = true;
       replica.engine.Cancel(id);
     }
     for (const auto& id : actions.expired) {
@@ -419,6 +422,7 @@
       }
       Attempt& attempt = found->second;
       attempt.is_started = true;
+      attempt.is_suspended = false;
       attempt.stream.resume_from = attempt.tokens;
       ++(attempt.kind == messages::WorkKind::kOnline ? replica.online
                                                      : replica.batch);
@@ -471,8 +475,7 @@
     const TimePoint now = this->events.now();
     const bool is_online = attempt.kind == messages::WorkKind::kOnline;
     --(is_online ? replica.online : replica.batch);
-    const bool stays_queued =
-        !is_online && !is_complete && !attempt.is_cancelled;
+    const bool stays_queued = attempt.is_suspended && !is_complete && !attempt.is_cancelled;
     if (is_complete) {
       replica.gate.ReportAnswer(id, attempt.tokens);
     }
