--- a/Libraries/LibPolicy/gate.cc
+++ b/Libraries/LibPolicy/gate.cc
@@ -39,8 +39,8 @@
 /// Moves an average rate on to `now` and adds one event.
 void CountEvent(double& rate, TimePoint& last, TimePoint now) {
   const double elapsed = ToSeconds(now - last);
-  rate = rate * std::exp(-elapsed / kRateWindowSeconds) +
-         1 / kRateWindowSeconds;
+  rate =
+      rate * std::exp(-elapsed / kRateWindowSeconds) + 1 / kRateWindowSeconds;
   last = now;
 }
 
@@ -281,8 +281,7 @@
        ++entry) {
     const Entry& candidate = entry->second;
     if (candidate.work.kind == WorkKind::kOnline && candidate.is_long &&
-        candidate.work.is_resumable &&
-        candidate.started + kLeastRun <= now &&
+        candidate.work.is_resumable && candidate.started + kLeastRun <= now &&
         (best == this->running.end() ||
          candidate.started < best->second.started)) {
       best = entry;
@@ -337,8 +336,8 @@
 }
 
 std::uint32_t Gate::BatchRoom() const {
-  const std::size_t held = this->occupied() + this->online_queue.size() +
-                           this->batch_queue.size();
+  const std::size_t held =
+      this->occupied() + this->online_queue.size() + this->batch_queue.size();
   const std::size_t backlog = std::max<std::size_t>(
       this->options.batch_backlog,
       static_cast<std::size_t>(this->finish_rate * kAskAheadSeconds));
@@ -373,8 +372,8 @@
 }
 
 std::uint32_t Gate::long_slots() const {
-  const auto slots = static_cast<std::uint32_t>(
-      this->options.long_share * this->options.slots);
+  const auto slots = static_cast<std::uint32_t>(this->options.long_share *
+                                                this->options.slots);
   return std::clamp(slots, std::uint32_t{1},
                     std::max(this->options.slots, std::uint32_t{1}));
 }
--- a/Libraries/LibPolicy/length_predictor.cc
+++ b/Libraries/LibPolicy/length_predictor.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// An answer this many times longer than the typical one is long.
-constexpr double kLongFactor = 8;
+constexpr double kLongFactor = 4;
 
 /// Probability above which a request is treated as long. A short request that
 /// waits for a long slot costs less than a long one that takes a short slot.
@@ -57,8 +57,7 @@
 
 double LengthPredictor::PredictTokens(const LengthHints& hints) const {
   const History* history = this->FindHistory(hints);
-  double tokens =
-      history != nullptr ? history->tokens : this->typical_tokens();
+  double tokens = history != nullptr ? history->tokens : this->typical_tokens();
   if (hints.token_limit == 0) {
     return tokens;
   }
--- a/Libraries/LibSimulation/fleet_simulation.h
+++ b/Libraries/LibSimulation/fleet_simulation.h
@@ -68,13 +68,15 @@
 class FleetSimulation {
  public:
   FleetSimulation(const FleetOptions& options, const Route& route)
-      : options(options), profile(this->options.profile), order(BatchOrderOptions{}) {
+      : options(options),
+        profile(this->options.profile),
+        order(BatchOrderOptions{}) {
     for (std::size_t region = 0; region < this->profile.regions.size();
          ++region) {
       this->entries.push_back(
           {.place = this->MakePlace(region, 0),
            .route = route,
-           .outstanding = std::vector<std::uint32_t>(this->profile.replicas)});
+           .known = std::vector<Known>(this->profile.replicas)});
     }
     GateOptions gate = options.gate;
     gate.slots = this->profile.engine.slots;
@@ -143,17 +145,27 @@
     std::string zone;
     std::string region;
   };
+  /// What an entry knows of a replica.
+  struct Known {
+    std::uint32_t outstanding = 0;
+    std::uint32_t reported_online = 0;
+    std::uint32_t outstanding_at_report = 0;
+    TimePoint reported{};
+  };
   struct Entry {
     Place place;
     Route route;
-    std::vector<std::uint32_t> outstanding;
+    std::vector<Known> known;
   };
   struct Replica {
     Place place;
     GateType gate;
     ModelEngine engine;
+    /// Streams at the engine.
     std::uint32_t online = 0;
     std::uint32_t batch = 0;
+    /// Online attempts that wait or run.
+    std::uint32_t online_held = 0;
     /// Batch items received so far, sent along with the room.
     std::uint64_t items_received = 0;
     /// Batch items that the partition owner has sent.
@@ -174,7 +186,7 @@
     TimePoint sent{};
     TimePoint last_token{};
     std::uint32_t tokens = 0;
-    bool is_started = false;
+    bool is_at_engine = false;
     bool is_suspended = false;
     bool is_cancelled = false;
     /// Ended at the daemon; the entry does not know yet.
@@ -221,6 +233,10 @@
       return;
     }
     Entry& entry = this->entries[request.arrival.region];
+    const TimePoint now = this->events.now();
+    if (is_hedge && !entry.route.TryHedge(now)) {
+      return;
+    }
     std::vector<ReplicaView> views;
     for (std::size_t replica = 0; replica < this->replicas.size(); ++replica) {
       if (is_hedge &&
@@ -229,23 +245,25 @@
       }
       Replica& target = *this->replicas[replica];
       const EngineLoad load = target.engine.PublishedLoad();
+      const Known& known = entry.known[replica];
       views.push_back({.index = replica,
                        .zone = target.place.zone,
                        .region = target.place.region,
                        .slots = this->profile.engine.slots,
-                       .outstanding = entry.outstanding[replica],
+                       .outstanding = known.outstanding,
                        .reported_running = load.running,
-                       .reported_waiting = load.waiting});
-    }
-    const RouteRequest route_request{
-        .workspace = request.arrival.workspace,
-        .prefix = request.arrival.prefix,
-        .prompt_tokens = request.arrival.prompt_tokens,
-        .token_limit = request.arrival.token_limit,
-        .zone = entry.place.zone,
-        .region = entry.place.region};
-    const TimePoint now = this->events.now();
-    const auto chosen = entry.route.Choose(route_request, views, now);
+                       .reported_waiting = load.waiting,
+                       .reported_online = known.reported_online,
+                       .outstanding_at_report = known.outstanding_at_report,
+                       .reported = known.reported});
+    }
+    const RouteInput route_input{.workspace = request.arrival.workspace,
+                                 .prefix = request.arrival.prefix,
+                                 .prompt_tokens = request.arrival.prompt_tokens,
+                                 .token_limit = request.arrival.token_limit,
+                                 .zone = entry.place.zone,
+                                 .region = entry.place.region};
+    const auto chosen = entry.route.Choose(route_input, views, now);
     if (!chosen) {
       if (!is_hedge) {
         this->Expire(request);
@@ -265,18 +283,16 @@
                                      .answer_tokens = arrival.answer_tokens},
                           .sent = now};
     request.attempts.push_back(id);
-    ++entry.outstanding[replica];
+    ++entry.known[replica].outstanding;
     entry.route.ObserveSent(replica, now);
     if (is_hedge) {
       this->result.hedges += this->IsMeasured(arrival.time) ? 1 : 0;
-    } else if (const auto delay =
-                   entry.route.HedgeDelay(route_request, replica, now)) {
+    } else if (const auto delay = entry.route.HedgeDelay()) {
       this->events.After(
           *delay, [this, index] { this->Dispatch(index, /*is_hedge=*/true); });
     }
-    this->events.After(
-        this->Delay(entry.place, this->replicas[replica]->place),
-        [this, id] { this->Submit(id); });
+    this->events.After(this->Delay(entry.place, this->replicas[replica]->place),
+                       [this, id] { this->Submit(id); });
   }
 
   void OnFirstToken(const std::string& id) {
@@ -290,13 +306,13 @@
     }
     request.winner = id;
     this->RecordFirstToken(
-        request,
-        now + this->profile.delays.to_clients - request.arrival.time);
+        request, now + this->profile.delays.to_clients - request.arrival.time);
     for (const auto& other : request.attempts) {
       if (other != id) {
         this->events.After(
-            this->Delay(entry.place,
-                        this->replicas[this->attempts.at(other).replica]->place),
+            this->Delay(
+                entry.place,
+                this->replicas[this->attempts.at(other).replica]->place),
             [this, other] { this->CancelAttempt(other); });
       }
     }
@@ -309,7 +325,7 @@
     Request& request = this->requests[attempt.owner];
     Entry& entry = this->entries[request.arrival.region];
     const TimePoint now = this->events.now();
-    --entry.outstanding[attempt.replica];
+    --entry.known[attempt.replica].outstanding;
     entry.route.ObserveEnd(attempt.replica, is_complete, now);
     if (request.is_done) {
       return;
@@ -325,11 +341,11 @@
       }
       return;
     }
-    const bool others_ended = std::all_of(
-        request.attempts.begin(), request.attempts.end(),
-        [this](const std::string& other) {
-          return this->attempts.at(other).has_ended;
-        });
+    const bool others_ended =
+        std::all_of(request.attempts.begin(), request.attempts.end(),
+                    [this](const std::string& other) {
+                      return this->attempts.at(other).has_ended;
+                    });
     if (request.winner.empty() && others_ended) {
       this->Expire(request);
     }
@@ -353,12 +369,11 @@
     (arrival.is_long ? this->result.first_token_long
                      : this->result.first_token_short)
         .Add(wait);
-    if (std::any_of(this->options.slow_spells.begin(),
-                    this->options.slow_spells.end(),
-                    [&arrival](const SlowSpell& spell) {
-                      return spell.start <= arrival.time &&
-                             arrival.time < spell.end;
-                    })) {
+    if (std::any_of(
+            this->options.slow_spells.begin(), this->options.slow_spells.end(),
+            [&arrival](const SlowSpell& spell) {
+              return spell.start <= arrival.time && arrival.time < spell.end;
+            })) {
       this->result.first_token_in_spell.Add(wait);
     }
   }
@@ -369,7 +384,6 @@
     Attempt& attempt = this->attempts.at(id);
     Replica& replica = *this->replicas[attempt.replica];
     if (attempt.is_cancelled) {
-      this->EndOnline(id, false);
       return;
     }
     GateWork work{.attempt = id,
@@ -381,6 +395,7 @@
       work.expected_tokens = arrival.token_limit;
       work.deadline = arrival.time + arrival.patience;
       work.is_resumable = true;
+      ++replica.online_held;
     } else {
       const BatchJob& job = this->jobs[attempt.owner].job;
       work.workspace = job.workspace + "/" + job.name;
@@ -396,7 +411,7 @@
     }
     attempt.is_cancelled = true;
     Replica& replica = *this->replicas[attempt.replica];
-    if (attempt.is_started) {
+    if (attempt.is_at_engine) {
       replica.engine.Cancel(id);
       return;
     }
@@ -421,7 +436,7 @@
         continue;
       }
       Attempt& attempt = found->second;
-      attempt.is_started = true;
+      attempt.is_at_engine = true;
       attempt.is_suspended = false;
       attempt.stream.resume_from = attempt.tokens;
       ++(attempt.kind == messages::WorkKind::kOnline ? replica.online
@@ -442,8 +457,15 @@
         this->events.After(
             this->Delay(this->replicas[index]->place, entry.place),
             [this, id] { this->OnFirstToken(id); });
-      } else if (this->IsMeasured(now)) {
-        this->result.token_gap.Add(now - attempt.last_token);
+      } else {
+        const Duration gap = now - attempt.last_token;
+        // Observed at the entry; the constant delay from the daemon changes
+        // nothing in the gap.
+        this->entries[this->requests[attempt.owner].arrival.region]
+            .route.ObserveToken(index, gap, now);
+        if (this->IsMeasured(now)) {
+          this->result.token_gap.Add(gap);
+        }
       }
     }
     attempt.last_token = now;
@@ -475,7 +497,9 @@
     const TimePoint now = this->events.now();
     const bool is_online = attempt.kind == messages::WorkKind::kOnline;
     --(is_online ? replica.online : replica.batch);
-    const bool stays_queued = attempt.is_suspended && !is_complete && !attempt.is_cancelled;
+    attempt.is_at_engine = false;
+    const bool stays_queued =
+        attempt.is_suspended && !is_complete && !attempt.is_cancelled;
     if (is_complete) {
       replica.gate.ReportAnswer(id, attempt.tokens);
     }
@@ -497,6 +521,7 @@
   void EndOnline(const std::string& id, bool is_complete) {
     Attempt& attempt = this->attempts.at(id);
     attempt.has_ended = true;
+    --this->replicas[attempt.replica]->online_held;
     const Entry& entry =
         this->entries[this->requests[attempt.owner].arrival.region];
     this->events.After(
@@ -505,24 +530,31 @@
   }
 
   void ReportLater(std::size_t index) {
-    this->Apply(index,
-                this->replicas[index]->gate.Tick(this->events.now()));
+    this->Apply(index, this->replicas[index]->gate.Tick(this->events.now()));
     this->Report(index);
     this->events.After(kReportInterval,
                        [this, index] { this->ReportLater(index); });
   }
 
   void Report(std::size_t index) {
+    const Replica& replica = *this->replicas[index];
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+      this->events.After(this->Delay(replica.place, this->entries[entry].place),
+                         [this, index, entry, online = replica.online_held] {
+                           Known& known = this->entries[entry].known[index];
+                           known.reported_online = online;
+                           known.outstanding_at_report = known.outstanding;
+                           known.reported = this->events.now();
+                         });
+    }
     if (!this->options.runs_batch) {
       return;
     }
-    const Replica& replica = *this->replicas[index];
-    this->events.After(
-        this->Delay(replica.place, this->entries.front().place),
-        [this, index, room = replica.gate.BatchRoom(),
-         received = replica.items_received] {
-          this->OnReport(index, room, received);
-        });
+    this->events.After(this->Delay(replica.place, this->entries.front().place),
+                       [this, index, room = replica.gate.BatchRoom(),
+                        received = replica.items_received] {
+                         this->OnReport(index, room, received);
+                       });
   }
 
   // Partition owner.
@@ -571,9 +603,9 @@
                                      .prompt_tokens = item.prompt_tokens,
                                      .answer_tokens = item.answer_tokens}};
     ++this->replicas[index]->items_sent;
-    this->events.After(this->Delay(this->entries.front().place,
-                                   this->replicas[index]->place),
-                       [this, id] { this->Submit(id); });
+    this->events.After(
+        this->Delay(this->entries.front().place, this->replicas[index]->place),
+        [this, id] { this->Submit(id); });
   }
 
   void OpenJobs() {
@@ -608,8 +640,7 @@
           const double seconds = ToSeconds(this->events.now() - this->last_end);
           this->last_end = this->events.now();
           this->throughput =
-              this->throughput *
-                  std::exp(-seconds / kThroughputWindowSeconds) +
+              this->throughput * std::exp(-seconds / kThroughputWindowSeconds) +
               this->ItemSeconds(open.job) / kThroughputWindowSeconds;
           if (++open.finished == open.job.items.size()) {
             ++this->result.jobs_finished;
@@ -647,10 +678,10 @@
   void CloseMeasurement() {
     this->result.seconds =
         ToSeconds(this->options.workload.horizon - this->options.warm_up);
-    this->result.idle_slot_seconds =
-        this->result.seconds * this->profile.replicas *
-            this->profile.engine.slots -
-        this->online_slot_seconds;
+    this->result.idle_slot_seconds = this->result.seconds *
+                                         this->profile.replicas *
+                                         this->profile.engine.slots -
+                                     this->online_slot_seconds;
   }
 
   const FleetOptions options;
--- a/Libraries/LibSimulation/latency_histogram.h
+++ b/Libraries/LibSimulation/latency_histogram.h
@@ -30,9 +30,9 @@
   std::vector<std::pair<double, double>> Distribution(std::size_t points) const;
 
  private:
-  using Axis = boost::histogram::axis::regular<
-      double,
-      boost::histogram::axis::transform::log>;
+  using Axis =
+      boost::histogram::axis::regular<double,
+                                      boost::histogram::axis::transform::log>;
 
   boost::histogram::histogram<std::tuple<Axis>> histogram;
   std::size_t total = 0;
--- a/Libraries/LibSimulation/route_policy.cc
+++ b/Libraries/LibSimulation/route_policy.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// Positions of the replicas in the entry's region; all if it has none.
-std::vector<std::size_t> Nearby(const RouteRequest& request,
+std::vector<std::size_t> Nearby(const RouteInput& request,
                                 const std::vector<ReplicaView>& replicas) {
   std::vector<std::size_t> positions;
   std::vector<std::size_t> all;
@@ -23,7 +23,7 @@
 }  // namespace
 
 std::optional<std::size_t> RoundRobinRoute::Choose(
-    const RouteRequest& request,
+    const RouteInput& request,
     const std::vector<ReplicaView>& replicas,
     TimePoint) {
   const auto positions = Nearby(request, replicas);
@@ -34,7 +34,7 @@
 }
 
 std::optional<std::size_t> LeastOutstandingRoute::Choose(
-    const RouteRequest& request,
+    const RouteInput& request,
     const std::vector<ReplicaView>& replicas,
     TimePoint) {
   const auto positions = Nearby(request, replicas);
--- a/Libraries/LibSimulation/route_policy.h
+++ b/Libraries/LibSimulation/route_policy.h
@@ -23,9 +23,15 @@
   /// The engine's own report, late.
   std::uint32_t reported_running = 0;
   std::uint32_t reported_waiting = 0;
+  /// Online requests of all entries in the daemon's last report, and
+  /// `outstanding` when it came.
+  std::uint32_t reported_online = 0;
+  std::uint32_t outstanding_at_report = 0;
+  TimePoint reported{};
 };
 
-struct RouteRequest {
+/// What an entry knows of a request that it routes.
+struct RouteInput {
   std::string workspace;
   std::string prefix;
   std::uint32_t prompt_tokens = 0;
@@ -39,7 +45,7 @@
 template <typename T>
 concept RoutePolicy = std::copyable<T> &&
     requires(T policy,
-             const RouteRequest& request,
+             const RouteInput& request,
              const std::vector<ReplicaView>& replicas,
              std::size_t replica,
              Duration wait,
@@ -49,29 +55,28 @@
   {
     policy.Choose(request, replicas, now)
     } -> std::same_as<std::optional<std::size_t>>;
-  /// Time without a first token after which a second attempt is sent; nothing
-  /// if there must be none. Counts against the policy's own budget.
-  {
-    policy.HedgeDelay(request, replica, now)
-    } -> std::same_as<std::optional<Duration>>;
+  /// Time without a first token after which a second attempt may be sent;
+  /// nothing if there must be none.
+  { policy.HedgeDelay() } -> std::same_as<std::optional<Duration>>;
+  /// Whether the second attempt is sent now.
+  { policy.TryHedge(now) } -> std::same_as<bool>;
   policy.ObserveSent(replica, now);
   policy.ObserveFirstToken(replica, wait, now);
+  policy.ObserveToken(replica, wait, now);
   policy.ObserveEnd(replica, is_complete, now);
 };
 
 /// Baseline: the replicas of the entry's region in turn.
 class RoundRobinRoute {
  public:
-  std::optional<std::size_t> Choose(const RouteRequest& request,
+  std::optional<std::size_t> Choose(const RouteInput& request,
                                     const std::vector<ReplicaView>& replicas,
                                     TimePoint now);
-  std::optional<Duration> HedgeDelay(const RouteRequest&,
-                                     std::size_t,
-                                     TimePoint) {
-    return std::nullopt;
-  }
+  std::optional<Duration> HedgeDelay() { return std::nullopt; }
+  bool TryHedge(TimePoint) { return false; }
   void ObserveSent(std::size_t, TimePoint) {}
   void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
+  void ObserveToken(std::size_t, Duration, TimePoint) {}
   void ObserveEnd(std::size_t, bool, TimePoint) {}
 
  private:
@@ -82,16 +87,14 @@
 /// this entry; the first of equal ones.
 class LeastOutstandingRoute {
  public:
-  std::optional<std::size_t> Choose(const RouteRequest& request,
+  std::optional<std::size_t> Choose(const RouteInput& request,
                                     const std::vector<ReplicaView>& replicas,
                                     TimePoint now);
-  std::optional<Duration> HedgeDelay(const RouteRequest&,
-                                     std::size_t,
-                                     TimePoint) {
-    return std::nullopt;
-  }
+  std::optional<Duration> HedgeDelay() { return std::nullopt; }
+  bool TryHedge(TimePoint) { return false; }
   void ObserveSent(std::size_t, TimePoint) {}
   void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
+  void ObserveToken(std::size_t, Duration, TimePoint) {}
   void ObserveEnd(std::size_t, bool, TimePoint) {}
 };
 
--- a/Libraries/LibSimulation/workload.cc
+++ b/Libraries/LibSimulation/workload.cc
@@ -50,8 +50,8 @@
           .burst_rate = 16,
           .answer_tokens = 60,
           .item_tokens = 120,
-          .items_per_job = 2000,
-          .job_due = std::chrono::minutes(20),
+          .items_per_job = 400,
+          .job_due = std::chrono::minutes(10),
           .workspaces = {"mats", "orders", "press"}};
 }
 
@@ -127,10 +127,9 @@
     const std::uint64_t task = random.Below(4);
     arrival.prefix = arrival.workspace + "/" + std::to_string(task);
     arrival.prefix_tokens = 300;
-    arrival.prompt_tokens =
-        arrival.prefix_tokens + SpreadAround(400, random);
-    arrival.answer_tokens = std::min(
-        SpreadAround(profile.answer_tokens, random), kShortLimit);
+    arrival.prompt_tokens = arrival.prefix_tokens + SpreadAround(400, random);
+    arrival.answer_tokens =
+        std::min(SpreadAround(profile.answer_tokens, random), kShortLimit);
     arrival.token_limit =
         random.Chance(kLooseLimitShare) ? kLongLimit : kShortLimit;
     arrivals.push_back(arrival);
--- /dev/null
+++ b/Tests/LibPolicy/gate_test.cc
@@ -0,0 +1,274 @@
+#include "LibPolicy/gate.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+namespace crocus {
+
+namespace {
+
+using messages::WorkKind;
+
+constexpr std::uint32_t kSlots = 4;
+constexpr Duration kPatience = std::chrono::seconds(30);
+
+/// An engine and a daemon in front of it that do what the gate says, and the
+/// checks that must hold after each step.
+class GateHarness {
+ public:
+  GateHarness()
+      : predictor(std::make_shared<LengthPredictor>()),
+        gate({.slots = kSlots, .reserve_slots = 2}, this->predictor) {
+    // Lengths that make "brands" long and all others short.
+    for (int answer = 0; answer < 32; ++answer) {
+      this->predictor->Observe({.workspace = "orders"}, 50);
+    }
+    for (int answer = 0; answer < 8; ++answer) {
+      this->predictor->Observe({.workspace = "brands"}, 5000);
+    }
+  }
+
+  void Submit(WorkKind kind, bool is_long) {
+    const std::string id = std::to_string(this->submitted.size());
+    const GateWork work{.attempt = id,
+                        .kind = kind,
+                        .deadline = this->now + kPatience,
+                        .workspace = is_long ? "brands" : "orders",
+                        .is_resumable = true};
+    this->submitted[id] = work;
+    this->queued.insert(id);
+    this->Apply(this->gate.Submit(work, this->now));
+  }
+
+  /// Ends a stream that the engine runs: a suspended one as cancelled unless
+  /// it completes first.
+  void End(std::size_t choice, bool completes_first) {
+    if (this->engine.empty()) {
+      return;
+    }
+    const std::string id =
+        *std::next(this->engine.begin(),
+                   static_cast<std::ptrdiff_t>(choice % this->engine.size()));
+    this->engine.erase(id);
+    const bool is_suspended = this->suspended.erase(id) > 0;
+    const bool is_complete = !is_suspended || completes_first;
+    if (is_complete) {
+      this->gate.ReportAnswer(id, 50);
+      this->ended.insert(id);
+    } else {
+      this->queued.insert(id);
+    }
+    this->Apply(this->gate.Finish(id, this->now));
+    if (is_complete) {
+      this->Apply(this->gate.Remove(id, this->now));
+    }
+  }
+
+  void Advance(Duration time) {
+    this->now += time;
+    this->Apply(this->gate.Tick(this->now));
+  }
+
+  /// Ends everything; each attempt must end.
+  void Drain() {
+    for (std::size_t round = 0;
+         round < 4 * this->submitted.size() && !this->engine.empty(); ++round) {
+      this->End(round, false);
+    }
+    RC_ASSERT(this->engine.empty());
+    RC_ASSERT(this->queued.empty());
+    RC_ASSERT(this->ended.size() == this->submitted.size());
+  }
+
+ private:
+  void Apply(const GateActions& actions) {
+    for (const auto& id : actions.suspend) {
+      RC_ASSERT(this->engine.contains(id));
+      RC_ASSERT(this->suspended.insert(id).second);
+    }
+    for (const auto& id : actions.expired) {
+      RC_ASSERT(this->queued.erase(id) == 1);
+      // An attempt that was at the engine must not be reported as not run.
+      RC_ASSERT(!this->has_run.contains(id));
+      RC_ASSERT(this->submitted.at(id).deadline <= this->now);
+      this->ended.insert(id);
+    }
+    for (const auto& id : actions.start) {
+      RC_ASSERT(this->queued.erase(id) == 1);
+      RC_ASSERT(this->engine.insert(id).second);
+      this->has_run.insert(id);
+    }
+    this->Check();
+  }
+
+  void Check() const {
+    RC_ASSERT(this->engine.size() <= kSlots);
+    const auto count = [this](const std::set<std::string>& ids, WorkKind kind,
+                              std::optional<bool> is_long) {
+      return std::count_if(ids.begin(), ids.end(), [&](const auto& id) {
+        const GateWork& work = this->submitted.at(id);
+        return work.kind == kind && (!is_long || *is_long == IsLong(work));
+      });
+    };
+    const auto long_running = count(this->engine, WorkKind::kOnline, true);
+    RC_ASSERT(long_running <= this->gate.long_slots());
+    RC_ASSERT(this->gate.long_slots() < kSlots);
+    // Waiting online work that the bound on long requests lets start has a
+    // suspension under way, or no batch stream is left to suspend.
+    const auto waiting_short = count(this->queued, WorkKind::kOnline, false);
+    const auto waiting_long = std::min<std::ptrdiff_t>(
+        count(this->queued, WorkKind::kOnline, true),
+        this->gate.long_slots() -
+            std::min<std::ptrdiff_t>(long_running, this->gate.long_slots()));
+    const auto batch = count(this->engine, WorkKind::kBatch, std::nullopt) -
+                       count(this->suspended, WorkKind::kBatch, std::nullopt);
+    RC_ASSERT(batch == 0 ||
+              waiting_short + waiting_long <=
+                  static_cast<std::ptrdiff_t>(this->suspended.size()));
+    // A free slot is never left to waiting online work.
+    RC_ASSERT(waiting_short == 0 || this->engine.size() == kSlots);
+  }
+
+  static bool IsLong(const GateWork& work) {
+    return work.workspace == "brands";
+  }
+
+  std::shared_ptr<LengthPredictor> predictor;
+  Gate gate;
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+  std::map<std::string, GateWork> submitted;
+  std::set<std::string> queued;
+  std::set<std::string> engine;
+  std::set<std::string> suspended;
+  std::set<std::string> has_run;
+  std::set<std::string> ended;
+};
+
+}  // namespace
+
+TEST_GROUP(Gate_RandomWork){};
+
+// Guards against online work that waits behind batch work, too many streams at
+// the engine, long requests in the last short slots, and attempts that are
+// lost or started twice.
+TEST(Gate_RandomWork, InvariantsHoldAfterEachStepAndNothingIsLost) {
+  CHECK(rc::check([] {
+    GateHarness harness;
+    const auto steps =
+        *rc::gen::container<std::vector<std::pair<int, unsigned>>>(
+            rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0u, 100u)));
+    for (const auto& [step, value] : steps) {
+      switch (step) {
+        case 0:
+        case 1:
+          harness.Submit(WorkKind::kBatch, value % 4 == 0);
+          break;
+        case 2:
+        case 3:
+          harness.Submit(WorkKind::kOnline, value % 3 == 0);
+          break;
+        case 4:
+        case 5:
+        case 6:
+          harness.End(value, value % 5 == 0);
+          break;
+        default:
+          harness.Advance(std::chrono::milliseconds(value * 100));
+      }
+    }
+    harness.Drain();
+  }));
+}
+
+TEST_GROUP(Gate_FullOfBatch) {
+  Gate gate{{.slots = 2, .reserve_slots = 0}};
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+
+  GateActions SubmitOnline(const std::string& attempt) {
+    return this->gate.Submit(
+        {.attempt = attempt, .deadline = this->now + kPatience}, this->now);
+  }
+  void setup() override {
+    for (const char* attempt : {"b1", "b2", "b3"}) {
+      this->gate.Submit({.attempt = attempt, .kind = WorkKind::kBatch},
+                        this->now);
+    }
+  }
+};
+
+// Guards against a suspended item that loses its place to items that wait.
+TEST(Gate_FullOfBatch, SuspendedItemResumesBeforeNewItems) {
+  const GateActions arrival = this->SubmitOnline("o1");
+  CHECK_EQUAL(1u, arrival.suspend.size());
+  CHECK(arrival.start.empty());
+  CHECK(this->gate.Finish(arrival.suspend.front(), this->now).start ==
+        std::vector<std::string>{"o1"});
+  CHECK(this->gate.Finish("o1", this->now).start == arrival.suspend);
+}
+
+// Guards against a slot that stays taken when an item completes while it is
+// being suspended.
+TEST(Gate_FullOfBatch, ItemThatCompletesWhileSuspendedIsNotStartedAgain) {
+  const std::string victim = this->SubmitOnline("o1").suspend.front();
+  this->gate.ReportAnswer(victim, 10);
+  this->gate.Finish(victim, this->now);
+  this->gate.Remove(victim, this->now);
+  CHECK(this->gate.Finish("o1", this->now).start ==
+        std::vector<std::string>{"b3"});
+}
+
+// Guards against batch work that keeps online tokens above their target.
+TEST(Gate_FullOfBatch, SlowOnlineTokensReduceTheBatchStreams) {
+  this->gate.Finish(this->SubmitOnline("o1").suspend.front(), this->now);
+  CHECK_EQUAL(1u, this->gate.batch_running());
+  std::size_t suspended = 0;
+  for (std::uint32_t tokens = 1; tokens < 20; ++tokens) {
+    this->now += std::chrono::milliseconds(100);
+    suspended +=
+        this->gate.ReportTokens("o1", tokens, this->now).suspend.size();
+  }
+  CHECK_EQUAL(1u, suspended);
+}
+
+TEST_GROUP(Gate_FullOfLongRequests) {
+  std::shared_ptr<LengthPredictor> predictor =
+      std::make_shared<LengthPredictor>();
+  Gate gate{{.slots = 2, .long_share = 1}, this->predictor};
+  TimePoint now = TimePoint{} + std::chrono::hours(1);
+
+  void setup() override {
+    for (int answer = 0; answer < 32; ++answer) {
+      this->predictor->Observe({.workspace = "orders"}, 50);
+      this->predictor->Observe({.workspace = "brands"}, answer < 4 ? 5000 : 50);
+    }
+    for (const char* attempt : {"l1", "l2"}) {
+      this->gate.Submit({.attempt = attempt,
+                         .deadline = this->now + kPatience,
+                         .workspace = "brands",
+                         .is_resumable = true},
+                        this->now);
+      this->gate.ReportTokens(attempt, 1000, this->now);
+    }
+  }
+};
+
+// Guards against short requests that wait for a request that turned out long.
+TEST(Gate_FullOfLongRequests, ShortRequestSuspendsALongOne) {
+  this->now += std::chrono::seconds(2);
+  const GateActions actions = this->gate.Submit(
+      {.attempt = "s", .deadline = this->now + kPatience}, this->now);
+  CHECK_EQUAL(1u, actions.suspend.size());
+  CHECK(this->gate.Finish(actions.suspend.front(), this->now).start ==
+        std::vector<std::string>{"s"});
+  CHECK(this->gate.Finish("s", this->now).start == actions.suspend);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Utilities/Bench/main.cc
@@ -0,0 +1,122 @@
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+#include <system_error>
+
+#include <cxxopts.hpp>
+
+#include "Bench/experiment_report.h"
+#include "LibSettings/program_start.h"
+#include "LibSimulation/experiments.h"
+
+namespace {
+
+constexpr const char* kExplanation = R"(
+Experiments in virtual time:
+  mixed      online requests beside batch work at full pressure
+  burst      the same with shorter and higher bursts
+  long       5% of the requests run 30 times longer
+  slow       two replicas run 5 times slower for 10 s, again and again
+
+Each run contains the chosen policy, the baselines and the bounds that no
+policy can pass. The same seed gives the same figures.
+
+Examples:
+  crocus-bench mixed --profile calloway --seed 1
+  crocus-bench slow --profile tesfaye --seed 7 --json
+  crocus-bench long --profile tesfaye --report /tmp/report
+
+Exit codes:
+  0  the experiment ran; its targets may be met or missed
+  1  the experiment or the report failed
+  2  the arguments are invalid
+)";
+
+int Exit(crocus::ExitCode code) {
+  return static_cast<int>(code);
+}
+
+int Fail(crocus::ExitCode code, const std::string& message) {
+  std::cerr << "crocus-bench: " << message << "\n";
+  return Exit(code);
+}
+
+/// Writes the page; the file is named after the experiment.
+bool WriteReport(const std::string& directory,
+                 const crocus::Experiment& experiment) {
+  std::error_code error;
+  std::filesystem::create_directories(directory, error);
+  const auto path = std::filesystem::path(directory) /
+                    (experiment.name + "-" + experiment.profile + "-" +
+                     std::to_string(experiment.seed) + ".html");
+  std::ofstream file(path);
+  file << crocus::ExperimentToHtml(experiment);
+  file.flush();
+  return file.good();
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  using crocus::ExitCode;
+  cxxopts::Options options("crocus-bench",
+                           "Measures the decisions in virtual time");
+  // clang-format off
+  options.add_options()
+      ("experiment", "experiment to run", cxxopts::value<std::string>())
+      ("profile", "calloway or tesfaye",
+       cxxopts::value<std::string>()->default_value("calloway"))
+      ("seed", "seed of the workload",
+       cxxopts::value<std::uint64_t>()->default_value("1"))
+      ("minutes", "virtual duration",
+       cxxopts::value<std::uint32_t>()->default_value("10"))
+      ("json", "print one JSON object")
+      ("report", "write a page with plots into this directory",
+       cxxopts::value<std::string>())
+      ("help", "print this text");
+  // clang-format on
+  options.parse_positional({"experiment"});
+  options.positional_help("EXPERIMENT");
+  try {
+    const auto parsed = options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << kExplanation;
+      return Exit(ExitCode::kSuccess);
+    }
+    if (parsed.count("experiment") == 0) {
+      return Fail(ExitCode::kUsage, "no experiment is named; see --help");
+    }
+    const std::string name = parsed["profile"].as<std::string>();
+    const auto profile = crocus::FindProfile(name);
+    if (!profile) {
+      return Fail(ExitCode::kUsage, "there is no profile \"" + name + "\"");
+    }
+    const auto minutes = parsed["minutes"].as<std::uint32_t>();
+    if (minutes == 0) {
+      return Fail(ExitCode::kUsage, "--minutes must be positive");
+    }
+    const auto experiment =
+        crocus::RunExperiment({.name = parsed["experiment"].as<std::string>(),
+                               .profile = *profile,
+                               .seed = parsed["seed"].as<std::uint64_t>(),
+                               .horizon = std::chrono::minutes(minutes)});
+    if (!experiment) {
+      return Fail(ExitCode::kUsage, experiment.error().message);
+    }
+    if (parsed.count("json") > 0) {
+      std::cout << crocus::ExperimentToJson(*experiment).dump(2) << "\n";
+    } else {
+      std::cout << crocus::ExperimentToText(*experiment);
+    }
+    if (parsed.count("report") > 0 &&
+        !WriteReport(parsed["report"].as<std::string>(), *experiment)) {
+      return Fail(ExitCode::kFailure, "the report could not be written to " +
+                                          parsed["report"].as<std::string>());
+    }
+  } catch (const cxxopts::exceptions::exception& error) {
+    return Fail(ExitCode::kUsage, error.what());
+  }
+  return Exit(ExitCode::kSuccess);
+}
