--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -33,6 +33,26 @@
       return "attempt_refused";
     case Event::kDraining:
       return "draining";
+    case Event::kOrderAccepted:
+      return "order_accepted";
+    case Event::kOrderRefused:
+      return "order_refused";
+    case Event::kOrderDelivered:
+      return "order_delivered";
+    case Event::kOrderFloorSet:
+      return "order_floor_set";
+    case Event::kWeightsWait:
+      return "weights_wait";
+    case Event::kHostsUnavailable:
+      return "hosts_unavailable";
+    case Event::kCancelFailed:
+      return "cancel_failed";
+    case Event::kResultsLeft:
+      return "results_left";
+    case Event::kDaemonRegistered:
+      return "daemon_registered";
+    case Event::kStreamCancelled:
+      return "stream_cancelled";
     case Event::kAppendUnknown:
       return "append_unknown";
     case Event::kLogUnavailable:
@@ -56,6 +76,7 @@
     case Event::kRequestFinished:
     case Event::kAttemptStarted:
     case Event::kAttemptFinished:
+    case Event::kStreamCancelled:
       return Severity::kDebug;
     case Event::kProgramStarted:
     case Event::kProgramStopped:
@@ -64,6 +85,11 @@
     case Event::kCallerLeft:
     case Event::kAttemptRefused:
     case Event::kDraining:
+    case Event::kOrderAccepted:
+    case Event::kOrderDelivered:
+    case Event::kOrderFloorSet:
+    case Event::kWeightsWait:
+    case Event::kDaemonRegistered:
     case Event::kRulesInForce:
     case Event::kJobAccepted:
     case Event::kPartitionClaimed:
@@ -71,12 +97,16 @@
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
+    case Event::kOrderRefused:
+    case Event::kHostsUnavailable:
+    case Event::kCancelFailed:
     case Event::kAppendUnknown:
     case Event::kLogUnavailable:
     case Event::kPartitionLost:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
+    case Event::kResultsLeft:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -38,6 +38,8 @@
   kPartitionQuery = 16,
   kPartitionReply = 17,
   kDrain = 18,
+  kLoadChange = 30,
+  kOrderFloor = 31,
 };
 
 /// True if this version defines the type.
@@ -61,6 +63,8 @@
     case MessageType::kPartitionQuery:
     case MessageType::kPartitionReply:
     case MessageType::kDrain:
+    case MessageType::kLoadChange:
+    case MessageType::kOrderFloor:
       return true;
   }
   return false;
@@ -471,6 +475,69 @@
   }
 };
 
+/// Load figures of one replica that differ from those sent before.
+struct ReplicaChange {
+  /// Position in the full LoadReport of this connection.
+  std::uint16_t index{0};
+  std::uint16_t online_running{0};
+  std::uint16_t online_waiting{0};
+  std::uint16_t batch_running{0};
+  std::uint16_t batch_room{0};
+
+  bool operator==(const ReplicaChange&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(index, online_running, online_waiting, batch_running, batch_room);
+  }
+};
+
+/// Sent by a daemon between full reports; unchanged replicas are left out.
+struct LoadChange {
+  static constexpr MessageType kType = MessageType::kLoadChange;
+
+  std::vector<ReplicaChange> replicas{};
+  std::uint64_t rules_version{0};
+  /// Holds for all replicas of the daemon.
+  bool leaving{false};
+
+  bool operator==(const LoadChange&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replicas, rules_version, leaving);
+  }
+};
+
+/// Orders for the replica up to this number are stale.
+struct ReplicaFloor {
+  std::string replica{};
+  std::uint64_t floor{0};
+
+  bool operator==(const ReplicaFloor&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica, floor);
+  }
+};
+
+/// Lets a started daemon accept orders above the floors.
+struct OrderFloor {
+  static constexpr MessageType kType = MessageType::kOrderFloor;
+
+  /// Incarnation of the daemon that was registered.
+  std::uint64_t incarnation{0};
+  std::vector<ReplicaFloor> floors{};
+
+  bool operator==(const OrderFloor&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(incarnation, floors);
+  }
+};
+
 }  // namespace crocus::messages
 
 #endif  // LIBMESSAGES_MESSAGES_H_
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -33,6 +33,8 @@
   kRequestIntent = 11,
   kRequestResult = 12,
   kSnapshot = 13,
+  kDaemonRegistered = 30,
+  kEngineOrderIssued = 31,
 };
 
 /// True if this version defines the type.
@@ -51,6 +53,8 @@
     case RecordType::kRequestIntent:
     case RecordType::kRequestResult:
     case RecordType::kSnapshot:
+    case RecordType::kDaemonRegistered:
+    case RecordType::kEngineOrderIssued:
       return true;
   }
   return false;
@@ -328,6 +332,38 @@
   }
 };
 
+/// A daemon started; earlier orders for its replicas are stale.
+struct DaemonRegistered {
+  static constexpr RecordType kType = RecordType::kDaemonRegistered;
+
+  std::string daemon{};
+  std::uint64_t incarnation{0};
+  std::vector<std::string> replicas{};
+
+  bool operator==(const DaemonRegistered&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(daemon, incarnation, replicas);
+  }
+};
+
+/// Order to an engine; its offset is the fencing number.
+struct EngineOrderIssued {
+  static constexpr RecordType kType = RecordType::kEngineOrderIssued;
+
+  std::string replica{};
+  std::string action{};
+  std::string argument{};
+
+  bool operator==(const EngineOrderIssued&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica, action, argument);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibPlatform/engine_client.cc
+++ b/Libraries/LibPlatform/engine_client.cc
@@ -135,7 +135,7 @@
   return json->value("text", "");
 }
 
-Result<void> EngineClient::Cancel(const std::string& request_id) const {
+Result<bool> EngineClient::Cancel(const std::string& request_id) const {
   TRY_ASSIGN(const HttpReply reply,
              SendHttp(JsonCall(this->base_url + "/v1/cancel",
                                {{"request_id", request_id}}, kControlTimeout)));
@@ -143,7 +143,8 @@
     return Failure(ErrorCode::kUnavailable,
                    "engine answered " + std::to_string(reply.status));
   }
-  return {};
+  const auto json = ParseJsonObject(reply.body);
+  return json && json->value("cancelled", true);
 }
 
 Result<void> EngineClient::Order(const EngineOrderCall& call) const {
--- a/Libraries/LibPlatform/engine_client.h
+++ b/Libraries/LibPlatform/engine_client.h
@@ -47,8 +47,9 @@
   /// Calls a plain service and returns its answer.
   Result<std::string> CallService(const EngineCall& call) const;
 
-  /// Cancels a running or waiting stream.
-  Result<void> Cancel(const std::string& request_id) const;
+  /// Cancels a running or waiting stream. Returns false if the engine does not
+  /// know the stream, such as when its request has not arrived yet.
+  Result<bool> Cancel(const std::string& request_id) const;
 
   /// Sends an order. Fails with kConflict if the engine refuses the fencing
   /// number.
--- a/Libraries/LibPolicy/attempt_table.cc
+++ b/Libraries/LibPolicy/attempt_table.cc
@@ -1,16 +1,39 @@
 #include "LibPolicy/attempt_table.h"
 
 #include "LibCore/assertions.h"
+#include "LibCore/hashing.h"
 
 namespace crocus {
 
-BeginOutcome AttemptTable::Begin(const std::string& attempt, TimePoint now) {
-  const auto [entry, is_new] = this->entries.try_emplace(
-      attempt, Entry{.state = State::kQueued, .changed = now});
-  if (is_new) {
+namespace {
+
+/// Memory of a held result besides its text and ids.
+constexpr std::size_t kHeldOverheadBytes = 512;
+
+std::size_t BytesOf(const messages::HeldResult& result) {
+  return result.text.size() + kHeldOverheadBytes;
+}
+
+}  // namespace
+
+BeginOutcome AttemptTable::Begin(const std::string& attempt,
+                                 bool may_hold,
+                                 TimePoint now) {
+  const auto found = this->entries.find(attempt);
+  if (found == this->entries.end()) {
+    const std::uint64_t fingerprint = HashBytes(attempt);
+    if (this->refusals.contains(fingerprint)) {
+      return BeginOutcome::kRevoked;
+    }
+    if (!this->HasRoom(may_hold)) {
+      return this->RememberRefusal(fingerprint, now)
+                 ? BeginOutcome::kFull
+                 : BeginOutcome::kFullForgotten;
+    }
+    this->entries[attempt] = {.state = State::kQueued, .changed = now};
     return BeginOutcome::kStart;
   }
-  switch (entry->second.state) {
+  switch (found->second.state) {
     case State::kQueued:
     case State::kRunning:
       return BeginOutcome::kActive;
@@ -22,6 +45,20 @@
   return BeginOutcome::kActive;
 }
 
+bool AttemptTable::HasRoom(bool may_hold) const {
+  return this->entries.size() < this->options.maximum_attempts &&
+         (!may_hold || this->bytes_held < this->options.maximum_held_bytes);
+}
+
+bool AttemptTable::RememberRefusal(std::uint64_t fingerprint, TimePoint now) {
+  if (this->refusals.size() >= this->options.maximum_attempts) {
+    return false;
+  }
+  this->refusals[fingerprint] = now;
+  this->refusal_order.push_back(fingerprint);
+  return true;
+}
+
 bool AttemptTable::MarkRunning(const std::string& attempt) {
   const auto found = this->entries.find(attempt);
   if (found == this->entries.end() || found->second.state == State::kRevoked) {
@@ -32,38 +69,64 @@
   return true;
 }
 
+void AttemptTable::End(Entries::iterator entry,
+                       State state,
+                       Verdict verdict,
+                       TimePoint now) {
+  entry->second = {.state = state, .verdict = verdict, .changed = now};
+  this->ended.push_back(entry);
+}
+
+void AttemptTable::Hold(const messages::HeldResult& result, TimePoint now) {
+  const auto [entry, is_new] = this->held.try_emplace(
+      result.done.attempt, Held{.result = result, .offered = now});
+  VERIFY(is_new);
+  // The ids and the answer are enough for the log.
+  entry->second.result.execute.prompt.clear();
+  this->bytes_held += BytesOf(result);
+}
+
 void AttemptTable::Finish(const messages::HeldResult& result,
                           bool hold,
                           TimePoint now) {
-  Entry& entry = this->entries[result.done.attempt];
-  VERIFY(entry.state != State::kFinished);
-  if (entry.state != State::kRevoked) {
-    entry.state = State::kFinished;
+  const auto entry = this->entries.find(result.done.attempt);
+  VERIFY(entry != this->entries.end());
+  const State state = entry->second.state;
+  VERIFY(state != State::kFinished);
+  VERIFY((state == State::kRunning) ==
+         (result.done.verdict != Verdict::kNotRun));
+  if (state != State::kRevoked) {
+    this->End(entry,
+              state == State::kRunning ? State::kFinished : State::kRevoked,
+              result.done.verdict, now);
   }
-  entry.verdict = result.done.verdict;
-  entry.changed = now;
   if (hold) {
-    this->held[result.done.attempt] = result;
+    this->Hold(result, now);
   }
 }
 
 Verdict AttemptTable::Revoke(const std::string& attempt, TimePoint now) {
-  const auto [entry, is_new] = this->entries.try_emplace(
-      attempt, Entry{.state = State::kRevoked, .changed = now});
-  if (is_new) {
-    return Verdict::kNotRun;
+  auto found = this->entries.find(attempt);
+  if (found == this->entries.end()) {
+    if (this->refusals.contains(HashBytes(attempt))) {
+      return Verdict::kNotRun;
+    }
+    if (this->entries.size() >= this->options.maximum_attempts) {
+      return this->RememberRefusal(HashBytes(attempt), now)
+                 ? Verdict::kNotRun
+                 : Verdict::kMayHaveRun;
+    }
+    found = this->entries.try_emplace(attempt).first;
   }
-  switch (entry->second.state) {
+  switch (found->second.state) {
     case State::kQueued:
-      entry->second = {.state = State::kRevoked,
-                       .verdict = Verdict::kNotRun,
-                       .changed = now};
+      this->End(found, State::kRevoked, Verdict::kNotRun, now);
       return Verdict::kNotRun;
     case State::kRunning:
       return Verdict::kMayHaveRun;
     case State::kFinished:
     case State::kRevoked:
-      return entry->second.verdict;
+      return found->second.verdict;
   }
   return Verdict::kMayHaveRun;
 }
@@ -71,32 +134,63 @@
 const messages::HeldResult* AttemptTable::FindHeld(
     const std::string& attempt) const {
   const auto found = this->held.find(attempt);
-  return found == this->held.end() ? nullptr : &found->second;
+  return found == this->held.end() ? nullptr : &found->second.result;
 }
 
 void AttemptTable::Confirm(const std::vector<std::string>& attempts) {
   for (const auto& attempt : attempts) {
-    this->held.erase(attempt);
+    if (const auto found = this->held.find(attempt);
+        found != this->held.end()) {
+      this->bytes_held -= BytesOf(found->second.result);
+      this->held.erase(found);
+    }
   }
 }
 
 std::vector<messages::HeldResult> AttemptTable::Unconfirmed() const {
   std::vector<messages::HeldResult> results;
   results.reserve(this->held.size());
-  for (const auto& [attempt, result] : this->held) {
-    results.push_back(result);
+  for (const auto& [attempt, entry] : this->held) {
+    results.push_back(entry.result);
+  }
+  return results;
+}
+
+std::vector<messages::HeldResult> AttemptTable::TakeOffers(TimePoint now,
+                                                           Duration interval,
+                                                           std::size_t limit) {
+  std::vector<messages::HeldResult> results;
+  for (auto& [attempt, entry] : this->held) {
+    if (results.size() == limit) {
+      break;
+    }
+    if (entry.offered + interval <= now) {
+      entry.offered = now;
+      results.push_back(entry.result);
+    }
   }
   return results;
 }
 
 void AttemptTable::Expire(TimePoint now) {
-  std::erase_if(this->entries, [this, now](const auto& item) {
-    const auto& [attempt, entry] = item;
-    const bool is_over =
-        entry.state == State::kFinished || entry.state == State::kRevoked;
-    return is_over && !this->held.contains(attempt) &&
-           entry.changed + this->options.memory < now;
-  });
+  const TimePoint horizon = now - this->options.memory;
+  while (!this->ended.empty() &&
+         this->ended.front()->second.changed < horizon) {
+    const auto entry = this->ended.front();
+    this->ended.pop_front();
+    if (this->held.contains(entry->first)) {
+      // A held result is still offered, so its attempt stays known.
+      entry->second.changed = now;
+      this->ended.push_back(entry);
+    } else {
+      this->entries.erase(entry);
+    }
+  }
+  while (!this->refusal_order.empty() &&
+         this->refusals.at(this->refusal_order.front()) < horizon) {
+    this->refusals.erase(this->refusal_order.front());
+    this->refusal_order.pop_front();
+  }
 }
 
 }  // namespace crocus
--- /dev/null
+++ b/Libraries/LibPolicy/daemon_decisions.h
@@ -0,0 +1,204 @@
+#ifndef LIBPOLICY_DAEMON_DECISIONS_H_
+#define LIBPOLICY_DAEMON_DECISIONS_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+#include "LibMessages/messages.h"
+#include "LibPolicy/attempt_table.h"
+#include "LibPolicy/daemon_actions.h"
+#include "LibPolicy/gate.h"
+#include "LibPolicy/report_pacer.h"
+#include "LibRules/rule_set.h"
+
+namespace crocus {
+
+/// Why a daemon takes no new work. Each reason is set and cleared only by its
+/// source, so the lagging host list can't end a drain.
+enum class LeavingReason { kSignal, kDrain, kHostList, kRules };
+
+struct DaemonDecisionsOptions {
+  messages::Hello hello;
+  std::string endpoint;
+  std::vector<std::string> replicas;
+  std::vector<std::string> models;
+  GateOptions gate;
+  AttemptTableOptions attempts;
+  ReportPacerOptions reports;
+  /// Age at which an unconfirmed result is offered again.
+  Duration offer_interval = std::chrono::seconds(10);
+  /// Refuse new work until rules have arrived.
+  bool requires_rules = false;
+};
+
+/// All decisions of a daemon about attempts, without threads and I/O: it is
+/// told what happened and returns what to do. Not thread-safe.
+class DaemonDecisions {
+ public:
+  explicit DaemonDecisions(DaemonDecisionsOptions options);
+
+  DaemonActions Connect(ConnectionId connection);
+  DaemonActions Disconnect(ConnectionId connection, TimePoint now);
+  DaemonActions Execute(ConnectionId connection,
+                        const messages::Execute& execute,
+                        TimePoint now);
+  DaemonActions Revoke(ConnectionId connection,
+                       std::uint64_t correlation,
+                       const std::string& attempt,
+                       TimePoint now);
+  void Confirm(const std::vector<std::string>& attempts);
+
+  /// Takes the rules text if its version is higher; returns whether it is.
+  bool AcceptRules(const messages::RulesPush& push);
+  /// Puts a parsed rule set in force: the only place where rules change what
+  /// the daemon does.
+  DaemonActions ApplyRuleSet(const RuleSet& rules);
+  DaemonActions SetLeaving(LeavingReason reason, bool is_leaving);
+  /// Adds a model that a replica has loaded.
+  DaemonActions AddModel(const std::string& replica, const std::string& model);
+
+  /// Asked by the thread that carries out a start, right before it calls the
+  /// engine. Nothing means that the run must not begin.
+  std::optional<StreamCall> BeginStream(const EngineRun& run,
+                                        TimePoint now,
+                                        DaemonActions& actions);
+  /// Takes a token; returns false if the stream is not wanted any more.
+  bool AddToken(const EngineRun& run,
+                std::uint32_t index,
+                const std::string& text,
+                DaemonActions& actions);
+  DaemonActions EndStream(const EngineRun& run,
+                          const StreamOutcome& outcome,
+                          TimePoint now);
+
+  /// True while the run is at the engine and is to be cancelled.
+  bool IsCancelPending(const EngineRun& run) const;
+
+  /// Drops expired work, sends due reports and offers.
+  DaemonActions Tick(TimePoint now);
+  /// When Tick has something to do.
+  TimePoint NextTick(TimePoint now) const;
+
+  bool is_leaving() const { return !this->leaving.empty(); }
+  bool is_ready() const;
+  std::size_t active_count() const { return this->active.size(); }
+  std::size_t held_count() const { return this->attempts.held_count(); }
+  const EndpointRule& endpoint_rule() const { return this->rule; }
+
+ private:
+  enum class Stage {
+    /// In the gate's queue.
+    kQueued,
+    /// Holds a slot; no thread has called the engine yet.
+    kStarting,
+    /// Holds a slot at the engine.
+    kStreaming,
+  };
+  struct Attempt {
+    messages::Execute execute;
+    ConnectionId connection = 0;
+    Stage stage = Stage::kQueued;
+    /// The latest run.
+    EngineRun run;
+    TimePoint deadline{};
+    /// Tokens received so far; a resumed stream continues after them.
+    std::string text;
+    std::uint32_t token_count = 0;
+    bool is_suspended = false;
+    bool is_cancelled = false;
+    bool has_run = false;
+
+    /// Repeatable online work is worth nothing without its caller.
+    bool is_worthless_alone() const {
+      return this->execute.kind == messages::WorkKind::kOnline &&
+             this->execute.repeatable;
+    }
+  };
+  using Active = std::map<std::string, Attempt>;
+  struct Replica {
+    Gate gate;
+    std::vector<std::string> models;
+    messages::ReplicaChange reported;
+  };
+
+  std::string RefusalReason(const messages::Execute& execute) const;
+  void Admit(ConnectionId connection,
+             const messages::Execute& execute,
+             TimePoint now,
+             DaemonActions& actions);
+  void AnswerDuplicate(ConnectionId connection,
+                       const std::string& id,
+                       DaemonActions& actions);
+  void AnswerFinished(ConnectionId connection,
+                      const std::string& id,
+                      TimePoint now,
+                      DaemonActions& actions);
+
+  /// Carries out gate actions and what follows from them.
+  void Settle(const std::string& replica,
+              GateActions first,
+              TimePoint now,
+              DaemonActions& actions);
+  void Start(const std::string& replica,
+             const std::string& id,
+             TimePoint now,
+             DaemonActions& actions,
+             std::deque<GateActions>& pending);
+  void Suspend(const std::string& replica,
+               const std::string& id,
+               TimePoint now,
+               DaemonActions& actions,
+               std::deque<GateActions>& pending);
+  void ReleaseSlot(const std::string& replica,
+                   const std::string& id,
+                   TimePoint now,
+                   DaemonActions& actions);
+
+  /// Ends an attempt that is not at the engine.
+  void Drop(Active::iterator attempt,
+            const std::string& reason,
+            TimePoint now,
+            DaemonActions& actions);
+  /// Stops an attempt whose caller is gone or revoked it.
+  void Stop(Active::iterator attempt,
+            const std::string& reason,
+            TimePoint now,
+            DaemonActions& actions);
+  /// Answers or holds the attempt and forgets it.
+  void End(Active::iterator attempt,
+           const messages::AttemptDone& done,
+           TimePoint now,
+           DaemonActions& actions);
+
+  void Report(TimePoint now, DaemonActions& actions);
+  void Offer(const std::vector<messages::HeldResult>& results,
+             DaemonActions& actions) const;
+  void SendToAll(const DaemonMessage& message, DaemonActions& actions) const;
+  messages::ReplicaChange Figures(const Replica& replica,
+                                  std::uint16_t index) const;
+  messages::LoadReport FullReport() const;
+  /// Changes since the last report; updates what has been reported.
+  messages::LoadChange TakeChanges();
+
+  const DaemonDecisionsOptions options;
+  std::map<std::string, Replica> replicas;
+  Active active;
+  AttemptTable attempts;
+  ReportPacer reports;
+  std::set<ConnectionId> connections;
+  std::set<LeavingReason> leaving;
+  std::uint64_t rules_version = 0;
+  std::uint64_t reported_rules = 0;
+  EndpointRule rule;
+  std::uint64_t last_run = 0;
+};
+
+}  // namespace crocus
+
+#endif  // LIBPOLICY_DAEMON_DECISIONS_H_
--- /dev/null
+++ b/Libraries/LibPolicy/report_pacer.cc
@@ -0,0 +1,25 @@
+#include "LibPolicy/report_pacer.h"
+
+#include <algorithm>
+
+namespace crocus {
+
+TimePoint ReportPacer::NextReport() const {
+  return this->is_changed ? this->earliest : this->latest;
+}
+
+void ReportPacer::MarkUnchanged(TimePoint now) {
+  this->is_changed = false;
+  this->earliest = now + this->options.delay;
+}
+
+void ReportPacer::MarkSent(std::size_t bytes, TimePoint now) {
+  const Duration cost =
+      FromSeconds(static_cast<double>(bytes) /
+                  static_cast<double>(this->options.bytes_per_second));
+  this->is_changed = false;
+  this->earliest = now + std::max(this->options.delay, cost);
+  this->latest = std::max(this->earliest, now + this->options.interval);
+}
+
+}  // namespace crocus
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -85,6 +85,18 @@
   reader.Read("host", "port_file",
               {.required = false, .minimum = 0, .maximum = 9e15},
               settings.host.port_file);
+  reader.Read("host", "require_rules",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.host.require_rules);
+  reader.Read("platform", "hosts_url",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.platform.hosts_url);
+  reader.Read("platform", "hosts_interval",
+              {.required = false, .minimum = 10, .maximum = 600000},
+              settings.platform.hosts_interval);
+  reader.Read("platform", "weights_url",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.platform.weights_url);
   reader.Read("endpoint", "name",
               {.required = true, .minimum = 0, .maximum = 9e15},
               settings.endpoint.name);
@@ -109,6 +121,21 @@
   reader.Read("timing", "drain_limit",
               {.required = false, .minimum = 0, .maximum = 3600000},
               settings.timing.drain_limit);
+  reader.Read("timing", "report_delay",
+              {.required = false, .minimum = 1, .maximum = 60000},
+              settings.timing.report_delay);
+  reader.Read("timing", "report_bytes_per_second",
+              {.required = false, .minimum = 256, .maximum = 1073741824},
+              settings.timing.report_bytes_per_second);
+  reader.Read("timing", "offer_interval",
+              {.required = false, .minimum = 10, .maximum = 3600000},
+              settings.timing.offer_interval);
+  reader.Read("memory", "attempts",
+              {.required = false, .minimum = 1, .maximum = 10000000},
+              settings.memory.attempts);
+  reader.Read("memory", "held_bytes",
+              {.required = false, .minimum = 1, .maximum = 1073741824},
+              settings.memory.held_bytes);
   TRY(reader.Finish());
   return settings;
 }
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -103,10 +103,23 @@
     std::uint16_t internal_port{0};
     /// File that receives the chosen port; empty writes none.
     std::string port_file{""};
+    /// Refuse new work until an entry has pushed rules.
+    bool require_rules{false};
 
     bool operator==(const Host&) const = default;
   };
 
+  struct Platform {
+    /// URL of the platform's host list; empty polls none.
+    std::string hosts_url{""};
+    /// Interval at which the host list is read.
+    std::chrono::milliseconds hosts_interval{5000};
+    /// Base URL of the weight store; empty passes load orders on at once.
+    std::string weights_url{""};
+
+    bool operator==(const Platform&) const = default;
+  };
+
   struct Endpoint {
     /// Endpoint that the replicas belong to.
     std::string name{""};
@@ -129,13 +142,30 @@
     std::chrono::milliseconds report_interval{1000};
     /// Longest time a shutdown waits for running work.
     std::chrono::milliseconds drain_limit{600000};
+    /// Shortest time between load reports; changes in between share one.
+    std::chrono::milliseconds report_delay{20};
+    /// Load report bytes to all entries together.
+    std::uint64_t report_bytes_per_second{8192};
+    /// Interval at which an unconfirmed result is offered again.
+    std::chrono::milliseconds offer_interval{10000};
 
     bool operator==(const Timing&) const = default;
   };
 
+  struct Memory {
+    /// Attempts and refusals that are remembered.
+    std::uint64_t attempts{40000};
+    /// Bytes of unconfirmed results at which work with such results is refused.
+    std::uint64_t held_bytes{8388608};
+
+    bool operator==(const Memory&) const = default;
+  };
+
   Host host;
+  Platform platform;
   Endpoint endpoint;
   Timing timing;
+  Memory memory;
 
   bool operator==(const DaemonSettings&) const = default;
 };
--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -4,50 +4,79 @@
 #include <thread>
 #include <utility>
 
-#include "LibCore/hashing.h"
+#include <boost/asio/post.hpp>
+
 #include "LibCore/random.h"
 #include "LibEvents/event_log.h"
 
 namespace crocus {
 
-using messages::WorkKind;
-
 namespace {
 
-/// Threads that send cancel requests, so that one slow replica does not delay
-/// the cancels of another.
-constexpr std::size_t kCancelThreads = 4;
+/// Threads that send cancel requests. An online burst suspends a batch stream
+/// for each of its requests, and the last cancel must leave within 5 ms.
+constexpr std::size_t kCancelThreads = 8;
+
+/// A cancel that reached the engine before its stream did is sent again.
+constexpr std::chrono::milliseconds kFirstCancelRetry{5};
+constexpr std::chrono::milliseconds kLongestCancelRetry{1000};
 
 /// How often a shutdown looks whether work is still running.
 constexpr std::chrono::milliseconds kDrainPollInterval{20};
 
-messages::AttemptDone Refusal(const std::string& attempt,
-                              const std::string& reason) {
-  return {.attempt = attempt, .verdict = Verdict::kNotRun, .reason = reason};
+/// Time for the last frames of a shutdown to leave.
+constexpr std::chrono::milliseconds kFlushTime{100};
+
+DaemonDecisionsOptions MakeOptions(const DaemonSettings& settings,
+                                   std::uint64_t incarnation) {
+  return {
+      .hello = {.role = messages::Role::kDaemon,
+                .name = settings.host.name,
+                .availability_zone = settings.host.availability_zone,
+                .region = settings.host.region,
+                .incarnation = incarnation},
+      .endpoint = settings.endpoint.name,
+      .replicas = settings.endpoint.replicas,
+      .models = settings.endpoint.models,
+      .gate = {.slots = settings.endpoint.slots},
+      .attempts = {.maximum_attempts = settings.memory.attempts,
+                   .maximum_held_bytes = settings.memory.held_bytes},
+      .reports = {.delay = settings.timing.report_delay,
+                  .interval = settings.timing.report_interval,
+                  .bytes_per_second = settings.timing.report_bytes_per_second},
+      .offer_interval = settings.timing.offer_interval,
+      .requires_rules = settings.host.require_rules};
 }
 
 }  // namespace
 
-Daemon::Daemon(DaemonSettings settings)
-    : settings(std::move(settings)),
-      hello{.role = messages::Role::kDaemon,
-            .name = this->settings.host.name,
-            .availability_zone = this->settings.host.availability_zone,
-            .region = this->settings.host.region,
-            .incarnation = SystemRandom()},
-      report_timer(this->io.context()) {
+Daemon::Daemon(DaemonSettings given)
+    : settings(std::move(given)),
+      incarnation(SystemRandom()),
+      decisions(MakeOptions(this->settings, this->incarnation)),
+      tick_timer(this->io.context()),
+      workers(this->settings.endpoint.replicas.size() *
+                  this->settings.endpoint.slots +
+              1),
+      cancellers(kCancelThreads),
+      orders(this->io.context(),
+             this->settings.endpoint.replicas,
+             this->settings.platform.weights_url,
+             [this](const messages::EngineOrder& order) {
+               if (order.action == "load_model") {
+                 this->Decide([this, &order] {
+                   return this->decisions.AddModel(order.replica,
+                                                   order.argument);
+                 });
+               }
+             }) {
   for (const auto& url : this->settings.endpoint.replicas) {
-    this->replicas[url] = {.client = std::make_unique<EngineClient>(url),
-                           .gate = std::make_unique<Gate>(GateOptions{
-                               .slots = this->settings.endpoint.slots})};
+    this->clients.try_emplace(url, url);
   }
-  const std::size_t streams =
-      this->replicas.size() * this->settings.endpoint.slots;
-  this->workers = std::make_unique<WorkerPool>(streams + 1);
-  this->cancellers = std::make_unique<WorkerPool>(kCancelThreads);
 }
 
 Daemon::~Daemon() {
+  this->hosts.reset();
   this->io.Stop();
 }
 
@@ -63,436 +92,310 @@
                       },
                   .on_closed = [this](const auto& peer,
                                       const auto&) { this->OnClosed(peer); }}));
-  this->ReportLater();
+  this->hosts = std::make_unique<HostListPoller>(
+      HostListPollerOptions{.url = this->settings.platform.hosts_url,
+                            .host = this->settings.host.name,
+                            .interval = this->settings.platform.hosts_interval},
+      [this](bool is_leaving) {
+        this->SetLeaving(LeavingReason::kHostList, is_leaving);
+      });
+  this->Decide([] { return DaemonActions{}; });
   return {};
 }
 
-void Daemon::Stop() {
-  this->OnDrain({});
+bool Daemon::IsDrained() {
+  std::lock_guard lock(this->mutex);
+  return this->decisions.active_count() == 0 &&
+         this->decisions.held_count() == 0;
+}
+
+bool Daemon::Stop() {
+  this->SetLeaving(LeavingReason::kSignal, true);
   const TimePoint limit = MonotonicNow() + this->settings.timing.drain_limit;
-  while (MonotonicNow() < limit) {
-    {
-      std::lock_guard lock(this->mutex);
-      if (this->active.empty()) {
-        break;
-      }
-    }
+  while (!this->IsDrained() && MonotonicNow() < limit) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
+  std::this_thread::sleep_for(kFlushTime);
   this->server->Close();
+  std::lock_guard lock(this->mutex);
+  if (const auto held = this->decisions.held_count(); held > 0) {
+    LogEvent(Event::kResultsLeft, {{"results", std::to_string(held)}});
+  }
+  return this->decisions.active_count() == 0;
 }
 
 void Daemon::OnOpen(const std::shared_ptr<Connection>& connection) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    this->connections.insert(connection);
-    this->hello.rules_version = this->rules.version;
-    todo.frames.emplace_back(connection, MakeFrame(this->hello));
-    todo.frames.emplace_back(connection, MakeFrame(this->MakeReport()));
-    if (const auto held = this->attempts.Unconfirmed(); !held.empty()) {
-      todo.frames.emplace_back(
-          connection, MakeFrame(messages::OfferResults{.results = held}));
-    }
-  }
-  this->Perform(todo);
+  this->Decide([this, &connection] {
+    this->connections[connection->id()] = connection;
+    return this->decisions.Connect(connection->id());
+  });
+}
+
+void Daemon::OnClosed(const std::shared_ptr<Connection>& connection) {
+  this->Decide([this, &connection] {
+    this->connections.erase(connection->id());
+    return this->decisions.Disconnect(connection->id(), MonotonicNow());
+  });
 }
 
 void Daemon::OnFrame(const std::shared_ptr<Connection>& connection,
                      const Frame& frame) {
   using messages::MessageType;
-  const auto reject = [&connection](const Error& error) {
-    LogEvent(Event::kFrameRejected,
-             {{"peer", connection->peer()}, {"reason", error.message}});
-    connection->Close(error.message);
+  const auto with = [&]<typename Message>(auto handle) {
+    const auto message = Decode<Message>(frame.body);
+    if (message) {
+      handle(*message);
+      return;
+    }
+    LogEvent(Event::kFrameRejected, {{"peer", connection->peer()},
+                                     {"reason", message.error().message}});
+    connection->Close(message.error().message);
   };
   switch (frame.type) {
     case MessageType::kExecute:
-      if (const auto execute = Decode<messages::Execute>(frame.body)) {
-        this->OnExecute(connection, *execute);
-      } else {
-        reject(execute.error());
-      }
-      return;
+      return with.operator()<messages::Execute>([&](const auto& execute) {
+        this->Decide([&] {
+          return this->decisions.Execute(connection->id(), execute,
+                                         MonotonicNow());
+        });
+      });
     case MessageType::kRevoke:
-      if (const auto revoke = Decode<messages::Revoke>(frame.body)) {
-        this->OnRevoke(connection, frame, *revoke);
-      } else {
-        reject(revoke.error());
-      }
-      return;
+      return with.operator()<messages::Revoke>([&](const auto& revoke) {
+        this->Decide([&] {
+          return this->decisions.Revoke(connection->id(), frame.correlation,
+                                        revoke.attempt, MonotonicNow());
+        });
+      });
     case MessageType::kConfirmResults:
-      if (const auto confirm = Decode<messages::ConfirmResults>(frame.body)) {
-        std::lock_guard lock(this->mutex);
-        this->attempts.Confirm(confirm->attempts);
-      } else {
-        reject(confirm.error());
-      }
-      return;
+      return with.operator()<messages::ConfirmResults>(
+          [&](const auto& confirm) {
+            std::lock_guard lock(this->mutex);
+            this->decisions.Confirm(confirm.attempts);
+          });
     case MessageType::kRulesPush:
-      if (auto push = Decode<messages::RulesPush>(frame.body)) {
-        std::lock_guard lock(this->mutex);
-        if (push->version > this->rules.version) {
-          this->rules = std::move(*push);
-          LogEvent(Event::kRulesInForce,
-                   {{"version", std::to_string(this->rules.version)}});
-        }
-      } else {
-        reject(push.error());
-      }
-      return;
+      return with.operator()<messages::RulesPush>(
+          [&](const auto& push) { this->OnRules(push); });
+    case MessageType::kRulesQuery:
+      return with.operator()<messages::RulesQuery>([&](const auto& query) {
+        this->OnRulesQuery(connection, frame.correlation, query);
+      });
     case MessageType::kDrain:
-      if (const auto drain = Decode<messages::Drain>(frame.body)) {
-        this->OnDrain(*drain);
-      } else {
-        reject(drain.error());
-      }
-      return;
+      return with.operator()<messages::Drain>(
+          [&](const auto& drain) { this->OnDrain(drain); });
+    case MessageType::kEngineOrder:
+      return with.operator()<messages::EngineOrder>([&](const auto& order) {
+        this->OnOrder(connection, frame.correlation, order);
+      });
+    case MessageType::kOrderFloor:
+      return with.operator()<messages::OrderFloor>([&](const auto& floor) {
+        // A floor for an earlier incarnation misses what that one accepted.
+        if (floor.incarnation == this->incarnation) {
+          this->orders.SetFloors(floor.floors);
+        }
+      });
     default:
       return;
   }
 }
 
-void Daemon::OnClosed(const std::shared_ptr<Connection>& connection) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    this->connections.erase(connection);
-    for (auto& [id, attempt] : this->active) {
-      if (attempt.connection != connection) {
-        continue;
-      }
-      attempt.connection = nullptr;
-      // The caller's stream broke with its entry. Work that may be repeated
-      // only holds a slot now.
-      if (attempt.execute.kind == WorkKind::kOnline &&
-          attempt.execute.repeatable) {
-        attempt.is_cancelled = true;
-        todo.cancels.emplace_back(attempt.replica, id);
-      }
-    }
-  }
-  this->Perform(todo);
-}
-
-void Daemon::OnExecute(const std::shared_ptr<Connection>& connection,
-                       const messages::Execute& execute) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    const TimePoint now = MonotonicNow();
-    const std::string& id = execute.attempt;
-    const auto refuse = [&](const std::string& reason) {
-      // The tombstone makes the refusal final for this attempt.
-      this->attempts.Revoke(id, now);
-      todo.frames.emplace_back(connection, MakeFrame(Refusal(id, reason)));
-      LogEvent(Event::kAttemptRefused, {{"attempt", id}, {"reason", reason}});
-    };
-    const std::string replica_name = execute.replica.empty()
-                                         ? this->replicas.begin()->first
-                                         : execute.replica;
-    const auto replica = this->replicas.find(replica_name);
-    switch (this->attempts.Begin(id, now)) {
-      case BeginOutcome::kStart:
-        if (this->is_leaving) {
-          refuse("endpoint_leaving");
-        } else if (replica == this->replicas.end()) {
-          refuse("unknown_replica");
-        } else {
-          this->active[id] = {.execute = execute,
-                              .replica = replica_name,
-                              .connection = connection};
-          const GateWork work{
-              .attempt = id,
-              .kind = execute.kind,
-              .expected_tokens = execute.max_tokens,
-              .deadline = now + std::chrono::milliseconds(execute.patience_ms)};
-          this->ApplyActions(replica_name,
-                             replica->second.gate->Submit(work, now), todo);
-        }
-        break;
-      case BeginOutcome::kActive:
-        break;
-      case BeginOutcome::kFinished:
-        if (const auto* held = this->attempts.FindHeld(id)) {
-          todo.frames.emplace_back(
-              connection,
-              MakeFrame(messages::OfferResults{.results = {*held}}));
-        }
-        break;
-      case BeginOutcome::kRevoked:
-        todo.frames.emplace_back(connection, MakeFrame(Refusal(id, "revoked")));
-        break;
-    }
+void Daemon::OnRules(const messages::RulesPush& push) {
+  std::lock_guard lock(this->mutex);
+  if (this->decisions.AcceptRules(push)) {
+    this->rules = push;
+    // FIXME: Parse the text and pass it to DaemonDecisions::ApplyRuleSet.
+    LogEvent(Event::kRulesInForce, {{"version", std::to_string(push.version)}});
+    this->ArmTick(MonotonicNow());
   }
-  this->Perform(todo);
 }
 
-void Daemon::OnRevoke(const std::shared_ptr<Connection>& connection,
-                      const Frame& frame,
-                      const messages::Revoke& revoke) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    const TimePoint now = MonotonicNow();
-    const Verdict verdict = this->attempts.Revoke(revoke.attempt, now);
-    todo.frames.emplace_back(
-        connection, MakeFrame(messages::RevokeReply{.attempt = revoke.attempt,
-                                                    .verdict = verdict},
-                              frame.correlation));
-    if (const auto found = this->active.find(revoke.attempt);
-        found != this->active.end()) {
-      const std::string replica = found->second.replica;
-      if (verdict == Verdict::kNotRun) {
-        this->active.erase(found);
-        this->ApplyActions(
-            replica, this->replicas[replica].gate->Remove(revoke.attempt, now),
-            todo);
-      } else {
-        found->second.is_cancelled = true;
-        todo.cancels.emplace_back(replica, revoke.attempt);
-      }
-    }
+void Daemon::OnRulesQuery(const std::shared_ptr<Connection>& connection,
+                          std::uint64_t correlation,
+                          const messages::RulesQuery& query) {
+  std::lock_guard lock(this->mutex);
+  messages::RulesPush reply = this->rules;
+  if (query.known_version >= reply.version) {
+    reply.text.clear();
   }
-  this->Perform(todo);
+  connection->Send(MakeFrame(reply, correlation));
 }
 
 void Daemon::OnDrain(const messages::Drain& drain) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    if (!drain.endpoint.empty() &&
-        drain.endpoint != this->settings.endpoint.name) {
-      return;
-    }
-    this->is_leaving = drain.leave;
-    todo = this->MakeBroadcast();
+  if (drain.endpoint.empty() ||
+      drain.endpoint == this->settings.endpoint.name) {
+    this->SetLeaving(LeavingReason::kDrain, drain.leave);
   }
-  LogEvent(Event::kDraining, {{"endpoint", this->settings.endpoint.name},
-                              {"reason", drain.leave ? "leave" : "return"}});
-  this->Perform(todo);
 }
 
-void Daemon::RunAttempt(const std::string& id) {
-  EngineCall call;
-  EngineClient* client = nullptr;
-  {
-    std::lock_guard lock(this->mutex);
-    const auto found = this->active.find(id);
-    if (found == this->active.end()) {
-      return;
-    }
-    Attempt& attempt = found->second;
-    attempt.is_suspended = false;
-    client = this->replicas[attempt.replica].client.get();
-    call = {.request_id = id,
-            .model = attempt.execute.model,
-            .prompt = attempt.execute.prompt,
-            .max_tokens = attempt.execute.max_tokens,
-            .resume_from = attempt.token_count};
-    if (!this->attempts.MarkRunning(id)) {
-      return;
-    }
+void Daemon::SetLeaving(LeavingReason reason, bool is_leaving) {
+  std::lock_guard lock(this->mutex);
+  const bool was_leaving = this->decisions.is_leaving();
+  this->Perform(this->decisions.SetLeaving(reason, is_leaving));
+  if (this->decisions.is_leaving() != was_leaving) {
+    LogEvent(Event::kDraining, {{"endpoint", this->settings.endpoint.name},
+                                {"reason", was_leaving ? "return" : "leave"}});
   }
-  LogEvent(Event::kAttemptStarted,
-           {{"attempt", id}, {"endpoint", this->settings.endpoint.name}});
-  if (this->settings.endpoint.kind == "service") {
-    const auto answer = client->CallService(call);
-    if (answer) {
-      this->OnToken(id, 0, *answer);
-      this->FinishAttempt(id, EngineOutcome::kComplete);
-    } else {
-      this->FinishAttempt(id, tl::unexpected(answer.error()));
-    }
-    return;
-  }
-  this->FinishAttempt(
-      id, client->Complete(
-              call, [this, &id](std::uint32_t index, const std::string& text) {
-                return this->OnToken(id, index, text);
-              }));
 }
 
-bool Daemon::OnToken(const std::string& id,
-                     std::uint32_t index,
-                     const std::string& text) {
-  std::shared_ptr<Connection> connection;
-  messages::TokenChunk chunk;
-  {
-    std::lock_guard lock(this->mutex);
-    const auto found = this->active.find(id);
-    if (found == this->active.end() || found->second.is_cancelled ||
-        found->second.is_suspended) {
-      return false;
-    }
-    Attempt& attempt = found->second;
-    if (index != attempt.token_count) {
-      return index < attempt.token_count;
-    }
-    attempt.text += text;
-    ++attempt.token_count;
-    if (attempt.execute.kind == WorkKind::kOnline) {
-      connection = attempt.connection;
-    }
-    chunk = {.attempt = id, .first_index = index, .count = 1, .text = text};
-  }
-  if (connection != nullptr) {
-    connection->Send(MakeFrame(chunk));
-  }
-  return true;
+void Daemon::OnOrder(const std::shared_ptr<Connection>& connection,
+                     std::uint64_t correlation,
+                     const messages::EngineOrder& order) {
+  this->orders.Submit(order, [connection, correlation](const auto& reply) {
+    connection->Send(MakeFrame(reply, correlation));
+  });
 }
 
-void Daemon::FinishAttempt(const std::string& id,
-                           const Result<EngineOutcome>& outcome) {
-  Todo todo;
-  {
-    std::lock_guard lock(this->mutex);
-    const auto found = this->active.find(id);
-    if (found == this->active.end()) {
-      return;
-    }
-    const Attempt& attempt = found->second;
-    const std::string replica = attempt.replica;
-    const TimePoint now = MonotonicNow();
-    const bool is_complete = outcome && *outcome == EngineOutcome::kComplete;
-    const bool stays_queued =
-        attempt.is_suspended && !attempt.is_cancelled && !is_complete;
-    if (!stays_queued) {
-      messages::AttemptDone done{.attempt = id,
-                                 .verdict = Verdict::kRan,
-                                 .complete = is_complete,
-                                 .token_count = attempt.token_count,
-                                 .checksum = HashBytes(attempt.text)};
-      if (!outcome) {
-        done.verdict = outcome.error().verdict;
-        done.reason = done.verdict == Verdict::kRan ? "rejected_by_endpoint"
-                                                    : "endpoint_failed";
-      } else if (!is_complete) {
-        done.reason = "cancelled";
-      }
-      const bool hold =
-          is_complete && (attempt.execute.kind == WorkKind::kBatch ||
-                          !attempt.execute.repeatable);
-      this->EndAttempt(id, done, hold, todo);
-    }
-    auto& gate = *this->replicas[replica].gate;
-    this->ApplyActions(replica, gate.Finish(id, now), todo);
-    if (!stays_queued) {
-      this->ApplyActions(replica, gate.Remove(id, now), todo);
-    }
-    const Todo broadcast = this->MakeBroadcast();
-    todo.frames.insert(todo.frames.end(), broadcast.frames.begin(),
-                       broadcast.frames.end());
+void Daemon::Run(const EngineRun& run) {
+  std::optional<StreamCall> call;
+  this->Decide([&] {
+    DaemonActions actions;
+    call = this->decisions.BeginStream(run, MonotonicNow(), actions);
+    return actions;
+  });
+  if (!call) {
+    return;
   }
-  this->Perform(todo);
+  LogEvent(
+      Event::kAttemptStarted,
+      {{"attempt", run.attempt}, {"endpoint", this->settings.endpoint.name}});
+  const StreamOutcome outcome = this->settings.endpoint.kind == "service"
+                                    ? this->CallService(run, *call)
+                                    : this->CallEngine(run, *call);
+  LogEvent(Event::kAttemptFinished,
+           {{"attempt", run.attempt},
+            {"verdict", std::string(ToString(outcome.verdict))}});
+  this->Decide(
+      [&] { return this->decisions.EndStream(run, outcome, MonotonicNow()); });
 }
 
-void Daemon::ApplyActions(const std::string& replica,
-                          const GateActions& actions,
-                          Todo& todo) {
-  for (const auto& id : actions.suspend) {
-    if (const auto found = this->active.find(id); found != this->active.end()) {
-      found->second.is_suspended = true;
-    }
-    todo.cancels.emplace_back(replica, id);
-  }
-  for (const auto& id : actions.expired) {
-    this->attempts.Revoke(id, MonotonicNow());
-    if (const auto found = this->active.find(id); found != this->active.end()) {
-      if (found->second.connection != nullptr) {
-        todo.frames.emplace_back(found->second.connection,
-                                 MakeFrame(Refusal(id, "patience_expired")));
-      }
-      this->active.erase(found);
-    }
+StreamOutcome Daemon::CallEngine(const EngineRun& run, const StreamCall& call) {
+  const auto outcome =
+      this->clients.at(run.replica)
+          .Complete({.request_id = run.StreamName(),
+                     .model = call.execute.model,
+                     .prompt = call.execute.prompt,
+                     .max_tokens = call.execute.max_tokens,
+                     .resume_from = call.resume_from},
+                    [this, &run](std::uint32_t index, const std::string& text) {
+                      return this->OnToken(run, index, text);
+                    });
+  if (!outcome) {
+    return {.end = StreamEnd::kFailed, .verdict = outcome.error().verdict};
   }
-  todo.starts.insert(todo.starts.end(), actions.start.begin(),
-                     actions.start.end());
+  return {.end = *outcome == EngineOutcome::kComplete ? StreamEnd::kComplete
+                                                      : StreamEnd::kCancelled};
 }
 
-void Daemon::EndAttempt(const std::string& id,
-                        const messages::AttemptDone& done,
-                        bool hold,
-                        Todo& todo) {
-  const auto found = this->active.find(id);
-  const messages::HeldResult result{.execute = found->second.execute,
-                                    .done = done,
-                                    .text = found->second.text};
-  this->attempts.Finish(result, hold, MonotonicNow());
-  if (found->second.execute.kind == WorkKind::kBatch && done.complete) {
-    const Frame frame = MakeFrame(messages::OfferResults{.results = {result}});
-    if (found->second.connection != nullptr) {
-      todo.frames.emplace_back(found->second.connection, frame);
-    }
-  } else if (found->second.connection != nullptr) {
-    todo.frames.emplace_back(found->second.connection, MakeFrame(done));
+StreamOutcome Daemon::CallService(const EngineRun& run,
+                                  const StreamCall& call) {
+  const auto answer = this->clients.at(run.replica)
+                          .CallService({.request_id = run.StreamName(),
+                                        .prompt = call.execute.prompt});
+  if (!answer) {
+    return {.end = StreamEnd::kFailed, .verdict = answer.error().verdict};
   }
-  LogEvent(Event::kAttemptFinished,
-           {{"attempt", id},
-            {"verdict", std::string(ToString(done.verdict))},
-            {"tokens", std::to_string(done.token_count)}});
-  this->active.erase(found);
+  this->OnToken(run, 0, *answer);
+  return {};
 }
 
-messages::LoadReport Daemon::MakeReport() const {
-  messages::LoadReport report{.rules_version = this->rules.version};
-  for (const auto& [name, replica] : this->replicas) {
-    report.replicas.push_back(
-        {.endpoint = this->settings.endpoint.name,
-         .replica = name,
-         .models = this->settings.endpoint.models,
-         .slots = this->settings.endpoint.slots,
-         .online_running = replica.gate->online_running(),
-         .online_waiting = replica.gate->online_waiting(),
-         .batch_running = replica.gate->batch_running(),
-         .batch_room = this->is_leaving ? 0 : replica.gate->BatchRoom(),
-         .leaving = this->is_leaving});
-  }
-  return report;
+bool Daemon::OnToken(const EngineRun& run,
+                     std::uint32_t index,
+                     const std::string& text) {
+  bool is_wanted = false;
+  this->Decide([&] {
+    DaemonActions actions;
+    is_wanted = this->decisions.AddToken(run, index, text, actions);
+    return actions;
+  });
+  return is_wanted;
 }
 
-Daemon::Todo Daemon::MakeBroadcast() const {
-  Todo todo;
-  const Frame frame = MakeFrame(this->MakeReport());
-  for (const auto& connection : this->connections) {
-    todo.frames.emplace_back(connection, frame);
+void Daemon::Cancel(const EngineRun& run,
+                    TimePoint decided,
+                    std::chrono::milliseconds retry_delay) {
+  const auto is_pending = [this, &run] {
+    std::lock_guard lock(this->mutex);
+    return this->decisions.IsCancelPending(run);
+  };
+  // A plain service has no cancel call; its answer is dropped.
+  if (this->settings.endpoint.kind == "service" || !is_pending()) {
+    return;
+  }
+  const Duration sent = MonotonicNow() - decided;
+  const auto cancelled = this->clients.at(run.replica).Cancel(run.StreamName());
+  if (cancelled && *cancelled) {
+    const Duration answered = MonotonicNow() - decided;
+    LogEvent(Event::kStreamCancelled,
+             {{"attempt", run.attempt},
+              {"sent_us", std::to_string(sent.count())},
+              {"answered_us", std::to_string(answered.count())}});
+    return;
+  }
+  if (!cancelled) {
+    LogEvent(Event::kCancelFailed,
+             {{"attempt", run.attempt}, {"reason", cancelled.error().message}});
   }
-  return todo;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(
+      this->io.context(), retry_delay);
+  timer->async_wait([this, timer, run, decided,
+                     retry_delay](boost::system::error_code error) {
+    if (!error) {
+      const auto next = std::min(retry_delay * 2, kLongestCancelRetry);
+      this->cancellers.Submit(
+          [this, run, decided, next] { this->Cancel(run, decided, next); });
+    }
+  });
 }
 
-void Daemon::Perform(const Todo& todo) {
-  for (const auto& [replica, id] : todo.cancels) {
-    this->cancellers->Submit([client = this->replicas[replica].client.get(),
-                              id = id] { client->Cancel(id); });
+void Daemon::Perform(const DaemonActions& actions) {
+  const TimePoint now = MonotonicNow();
+  for (const auto& run : actions.cancels) {
+    this->cancellers.Submit(
+        [this, run, now] { this->Cancel(run, now, kFirstCancelRetry); });
   }
-  for (const auto& id : todo.starts) {
-    this->workers->Submit([this, id] { this->RunAttempt(id); });
+  for (const auto& run : actions.starts) {
+    this->workers.Submit([this, run] { this->Run(run); });
   }
-  for (const auto& [connection, frame] : todo.frames) {
-    connection->Send(frame);
+  for (const auto& outgoing : actions.messages) {
+    if (const auto found = this->connections.find(outgoing.connection);
+        found != this->connections.end()) {
+      found->second->Send(std::visit(
+          [&outgoing](const auto& message) {
+            return MakeFrame(message, outgoing.correlation);
+          },
+          outgoing.message));
+    }
   }
+  this->ArmTick(now);
 }
 
-void Daemon::ReportLater() {
-  this->report_timer.expires_after(this->settings.timing.report_interval);
-  this->report_timer.async_wait([this](boost::system::error_code error) {
-    if (error) {
-      return;
-    }
-    Todo todo;
+void Daemon::ArmTick(TimePoint now) {
+  const TimePoint next = this->decisions.NextTick(now);
+  if (next >= this->armed) {
+    return;
+  }
+  this->armed = next;
+  boost::asio::post(this->io.context(), [this] {
     {
+      // Handlers that this thread posts may run after later ones of other
+      // threads, so the newest time is read here.
       std::lock_guard lock(this->mutex);
-      const TimePoint now = MonotonicNow();
-      for (auto& [name, replica] : this->replicas) {
-        this->ApplyActions(name, replica.gate->Tick(now), todo);
+      if (this->armed == TimePoint::max()) {
+        return;
       }
-      this->attempts.Expire(now);
-      const Todo broadcast = this->MakeBroadcast();
-      todo.frames.insert(todo.frames.end(), broadcast.frames.begin(),
-                         broadcast.frames.end());
+      this->tick_timer.expires_at(this->armed);
     }
-    this->Perform(todo);
-    this->ReportLater();
+    this->tick_timer.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        this->Tick();
+      }
+    });
+  });
+}
+
+void Daemon::Tick() {
+  this->Decide([this] {
+    this->armed = TimePoint::max();
+    return this->decisions.Tick(MonotonicNow());
   });
 }
 
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -4,27 +4,28 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
-#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "Daemon/host_list_poller.h"
+#include "Daemon/order_runner.h"
 #include "LibCore/result.h"
 #include "LibCore/worker_pool.h"
 #include "LibNetwork/frame_server.h"
 #include "LibNetwork/io_thread.h"
 #include "LibPlatform/engine_client.h"
-#include "LibPolicy/attempt_table.h"
-#include "LibPolicy/gate.h"
+#include "LibPolicy/daemon_decisions.h"
 #include "LibSettings/settings.h"
 
 namespace crocus {
 
-/// The process beside an endpoint host: the only way to its replicas.
+/// The process beside an endpoint host: the only way to its replicas. Carries
+/// out what DaemonDecisions decides.
 ///
-/// `mutex` guards all tables. It is never held while a frame is sent to a
-/// replica or an entry; sends are collected and done after it is released.
+/// `mutex` guards the decisions and the connections. Frames are queued under
+/// it, so that they leave in the order of the decisions; queueing does not
+/// block. Calls to a replica are made without it.
 class Daemon {
  public:
   explicit Daemon(DaemonSettings settings);
@@ -32,78 +33,66 @@
 
   Result<void> Start();
 
-  /// Refuses new work, waits for running work up to the drain limit, stops.
-  void Stop();
+  /// Refuses new work and waits, up to the drain limit, until running work has
+  /// ended and held results are confirmed. Returns whether it all was.
+  bool Stop();
 
   std::uint16_t port() const { return this->server->port(); }
 
  private:
-  struct Attempt {
-    messages::Execute execute;
-    std::string replica;
-    std::shared_ptr<Connection> connection;
-    /// Tokens received so far; a resumed stream continues after them.
-    std::string text;
-    std::uint32_t token_count = 0;
-    bool is_suspended = false;
-    bool is_cancelled = false;
-  };
-  struct Replica {
-    std::unique_ptr<EngineClient> client;
-    std::unique_ptr<Gate> gate;
-  };
-  /// Work to do after the lock is released.
-  struct Todo {
-    std::vector<std::pair<std::shared_ptr<Connection>, Frame>> frames;
-    std::vector<std::pair<std::string, std::string>> cancels;
-    std::vector<std::string> starts;
-  };
-
   void OnOpen(const std::shared_ptr<Connection>& connection);
   void OnFrame(const std::shared_ptr<Connection>& connection,
                const Frame& frame);
   void OnClosed(const std::shared_ptr<Connection>& connection);
-  void OnExecute(const std::shared_ptr<Connection>& connection,
-                 const messages::Execute& execute);
-  void OnRevoke(const std::shared_ptr<Connection>& connection,
-                const Frame& frame,
-                const messages::Revoke& revoke);
+  void OnRules(const messages::RulesPush& push);
+  /// Answers with the rules; without their text if it is known already.
+  void OnRulesQuery(const std::shared_ptr<Connection>& connection,
+                    std::uint64_t correlation,
+                    const messages::RulesQuery& query);
   void OnDrain(const messages::Drain& drain);
-
-  void RunAttempt(const std::string& id);
-  bool OnToken(const std::string& id,
+  void OnOrder(const std::shared_ptr<Connection>& connection,
+               std::uint64_t correlation,
+               const messages::EngineOrder& order);
+  void SetLeaving(LeavingReason reason, bool is_leaving);
+
+  void Run(const EngineRun& run);
+  StreamOutcome CallEngine(const EngineRun& run, const StreamCall& call);
+  StreamOutcome CallService(const EngineRun& run, const StreamCall& call);
+  bool OnToken(const EngineRun& run,
                std::uint32_t index,
                const std::string& text);
-  void FinishAttempt(const std::string& id,
-                     const Result<EngineOutcome>& outcome);
-
-  /// Needs the lock.
-  void ApplyActions(const std::string& replica,
-                    const GateActions& actions,
-                    Todo& todo);
-  void EndAttempt(const std::string& id,
-                  const messages::AttemptDone& done,
-                  bool hold,
-                  Todo& todo);
-  messages::LoadReport MakeReport() const;
-  Todo MakeBroadcast() const;
-
-  void Perform(const Todo& todo);
-  void ReportLater();
+  void Cancel(const EngineRun& run,
+              TimePoint decided,
+              std::chrono::milliseconds retry_delay);
+
+  /// Carries out actions. Needs the lock.
+  void Perform(const DaemonActions& actions);
+  /// Runs a decision under the lock and carries out its actions.
+  template <typename Decision>
+  void Decide(Decision decision) {
+    std::lock_guard lock(this->mutex);
+    this->Perform(decision());
+  }
+  void ArmTick(TimePoint now);
+  void Tick();
+  bool IsDrained();
 
   const DaemonSettings settings;
-  messages::Hello hello;
+  const std::uint64_t incarnation;
+  std::map<std::string, EngineClient> clients;
+  IoThread io;
   std::mutex mutex;
-  std::map<std::string, Replica> replicas;
-  std::map<std::string, Attempt> active;
-  AttemptTable attempts{{}};
-  std::set<std::shared_ptr<Connection>> connections;
+  DaemonDecisions decisions;
+  std::map<ConnectionId, std::shared_ptr<Connection>> connections;
+  /// The newest rules, for entries that ask after a restart.
   messages::RulesPush rules;
-  bool is_leaving = false;
-  IoThread io;
-  boost::asio::steady_timer report_timer;
-  std::unique_ptr<WorkerPool> workers;
-  std::unique_ptr<WorkerPool> cancellers;
+  boost::asio::steady_timer tick_timer;
+  /// When the timer fires.
+  TimePoint armed = TimePoint::max();
+  WorkerPool workers;
+  WorkerPool cancellers;
+  OrderRunner orders;
+  std::unique_ptr<HostListPoller> hosts;
   std::shared_ptr<FrameServer> server;
 };
 
--- a/Services/Daemon/main.cc
+++ b/Services/Daemon/main.cc
@@ -31,8 +31,13 @@
   crocus::LogEvent(Event::kProgramStarted,
                    {{"program", "crocus-daemon"}, {"internal_port", port}});
   const std::string reason = crocus::WaitForStopSignal();
-  daemon.Stop();
+  const bool is_drained = daemon.Stop();
   crocus::LogEvent(Event::kProgramStopped,
                    {{"program", "crocus-daemon"}, {"reason", reason}});
+  if (!is_drained) {
+    // Threads still wait for an engine, maybe for ever; the drain limit ends
+    // the process without them.
+    std::_Exit(static_cast<int>(crocus::ExitCode::kSuccess));
+  }
   return static_cast<int>(crocus::ExitCode::kSuccess);
 }
--- /dev/null
+++ b/Services/Daemon/order_runner.h
@@ -0,0 +1,70 @@
+#ifndef DAEMON_ORDER_RUNNER_H_
+#define DAEMON_ORDER_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "LibCore/worker_pool.h"
+#include "LibMessages/messages.h"
+#include "LibPolicy/order_fence.h"
+
+namespace crocus {
+
+/// Takes engine orders: checks their fencing numbers and delivers them. A load
+/// order first asks the rate-limited weight store and waits without holding a
+/// thread, so other orders overtake it. Thread-safe.
+class OrderRunner {
+ public:
+  using Reply = std::function<void(const messages::EngineOrderReply&)>;
+  using OnDelivered = std::function<void(const messages::EngineOrder&)>;
+
+  /// `weights_url` empty passes load orders on at once.
+  OrderRunner(boost::asio::io_context& context,
+              const std::vector<std::string>& replicas,
+              std::string weights_url,
+              OnDelivered on_delivered);
+
+  void SetFloors(const std::vector<messages::ReplicaFloor>& floors);
+
+  /// Refuses the order or delivers it; `reply` is called once, maybe on
+  /// another thread.
+  void Submit(const messages::EngineOrder& order, Reply reply);
+
+ private:
+  struct Task {
+    messages::EngineOrder order;
+    Reply reply;
+  };
+
+  void Run(const Task& task);
+  /// Asks for the weights of a load order. Returns 0 if they may be loaded,
+  /// else the time to wait.
+  std::chrono::milliseconds AskForWeights(const messages::EngineOrder& order);
+  void RunLater(const Task& task, std::chrono::milliseconds wait);
+  void Deliver(const Task& task);
+  bool IsSuperseded(const messages::EngineOrder& order);
+
+  boost::asio::io_context& context;
+  const std::string weights_url;
+  const OnDelivered on_delivered;
+  /// Guards what follows; a leaf lock.
+  std::mutex mutex;
+  OrderFence fence;
+  /// Highest accepted number for each replica and action.
+  std::map<std::pair<std::string, std::string>, std::uint64_t> latest;
+  /// Orders to one replica reach it in turn, so that a lower number never
+  /// follows a higher one; a leaf lock for each replica.
+  std::map<std::string, std::mutex> deliveries;
+  WorkerPool workers;
+};
+
+}  // namespace crocus
+
+#endif  // DAEMON_ORDER_RUNNER_H_
--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -1,6 +1,7 @@
 #include "Entry/fleet.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "LibEvents/event_log.h"
@@ -142,6 +143,9 @@
 
 void Fleet::OnFrame(const std::string& daemon, const Frame& frame) {
   using messages::MessageType;
+  if (this->handlers.on_frame) {
+    this->handlers.on_frame(daemon, frame);
+  }
   switch (frame.type) {
     case MessageType::kHello:
       if (auto hello = Decode<messages::Hello>(frame.body)) {
@@ -161,6 +165,12 @@
         this->handlers.on_load();
       }
       return;
+    case MessageType::kLoadChange:
+      if (const auto change = Decode<messages::LoadChange>(frame.body)) {
+        this->OnLoadChange(daemon, *change);
+        this->handlers.on_load();
+      }
+      return;
     case MessageType::kTokenChunk:
       if (const auto chunk = Decode<messages::TokenChunk>(frame.body)) {
         std::function<void(const messages::TokenChunk&)> on_chunk;
@@ -210,6 +220,26 @@
   }
 }
 
+void Fleet::OnLoadChange(const std::string& daemon,
+                         const messages::LoadChange& change) {
+  std::lock_guard lock(this->mutex);
+  auto& replicas = this->daemons[daemon].replicas;
+  for (auto& [name, load] : replicas) {
+    load.leaving = change.leaving;
+  }
+  for (const auto& figures : change.replicas) {
+    if (figures.index >= replicas.size()) {
+      continue;
+    }
+    // A full report lists the replicas in the order of their names.
+    auto& load = std::next(replicas.begin(), figures.index)->second;
+    load.online_running = figures.online_running;
+    load.online_waiting = figures.online_waiting;
+    load.batch_running = figures.batch_running;
+    load.batch_room = figures.batch_room;
+  }
+}
+
 void Fleet::OnDone(const messages::AttemptDone& done) {
   AttemptCallbacks callbacks;
   {
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -46,6 +46,8 @@
       on_offer;
   /// A daemon's connection closed; its unfinished attempts are unknown.
   std::function<void(const std::string& daemon)> on_lost;
+  /// Sees every frame of a daemon before the fleet does.
+  std::function<void(const std::string& daemon, const Frame& frame)> on_frame;
 };
 
 /// Connections to all daemons, and the replicas behind them. Thread-safe;
@@ -76,10 +78,12 @@
 
   /// Sends a message to one daemon; dropped if it is not connected.
   template <typename Message>
-  void Send(const std::string& daemon, const Message& message) {
+  void Send(const std::string& daemon,
+            const Message& message,
+            std::uint64_t correlation = 0) {
     if (const auto found = this->clients.find(daemon);
         found != this->clients.end()) {
-      found->second->Send(MakeFrame(message));
+      found->second->Send(MakeFrame(message, correlation));
     }
   }
 
@@ -106,6 +110,8 @@
               const std::shared_ptr<Connection>& connection);
   void OnFrame(const std::string& daemon, const Frame& frame);
   void OnLost(const std::string& daemon);
+  void OnLoadChange(const std::string& daemon,
+                    const messages::LoadChange& change);
   void OnDone(const messages::AttemptDone& done);
   ReplicaView MakeView(const std::string& daemon,
                        const DaemonState& state,
--- a/Services/Standin/engine_service.cc
+++ b/Services/Standin/engine_service.cc
@@ -93,7 +93,9 @@
     const std::shared_ptr<Stream>& stream) {
   if (!stream->is_counted) {
     if (!this->AcquireSlot(stream)) {
-      return std::nullopt;
+      stream->is_counted = true;
+      stream->next = stream->end + 1;
+      return ServerSentEvent("{\"cancelled\":true}");
     }
     std::unique_lock lock(this->mutex);
     const auto prompt_time = this->PromptTime(stream->prompt);
@@ -152,6 +154,14 @@
     }
   }
   this->wake.notify_all();
+  if (found) {
+    // The monotonic clock is shared by the processes of a host, so a test can
+    // compare these times with its own.
+    this->cancel_times_us.push_back(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            std::chrono::steady_clock::now().time_since_epoch())
+            .count());
+  }
   return JsonResponse(200, {{"cancelled", found}});
 }
 
@@ -206,6 +216,7 @@
   return JsonResponse(200, {{"running", this->running.size()},
                             {"waiting", this->waiting.size()},
                             {"runs", this->run_counts},
+                            {"cancel_times_us", this->cancel_times_us},
                             {"orders", this->orders},
                             {"stale_orders", this->stale_orders}});
 }
--- a/Services/Standin/engine_service.h
+++ b/Services/Standin/engine_service.h
@@ -74,6 +74,7 @@
   std::deque<std::shared_ptr<Stream>> waiting;
   std::map<std::string, std::shared_ptr<Stream>> running;
   std::map<std::string, std::uint32_t> run_counts;
+  std::deque<std::int64_t> cancel_times_us;
   std::deque<std::string> prefixes;
   std::deque<LoadSample> samples;
   double slow_factor = 1;
--- /dev/null
+++ b/Tests/LibPolicy/attempt_table_test.cc
@@ -0,0 +1,148 @@
+#include <map>
+#include <set>
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include "LibPolicy/attempt_table.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::size_t kMaximumAttempts = 6;
+constexpr std::size_t kMaximumHeldBytes = 1000;
+constexpr Duration kMemory = std::chrono::seconds(10);
+
+enum class Fate { kQueued, kRunning, kFinished, kNotRun };
+
+/// Oracle: what was promised about each attempt, without any bound.
+struct Model {
+  std::map<std::string, Fate> fates;
+  std::set<std::string> held;
+};
+
+struct Subject {
+  AttemptTable table{{.memory = kMemory,
+                      .maximum_attempts = kMaximumAttempts,
+                      .maximum_held_bytes = kMaximumHeldBytes}};
+  TimePoint now{};
+};
+
+std::string ArbitraryAttempt() {
+  return "a" + std::to_string(*rc::gen::inRange(0, 16));
+}
+
+}  // namespace
+
+TEST_GROUP(AttemptTable_ArbitrarySteps){};
+
+// Guards against a second start of an attempt, a start after "not run" was
+// promised, a held result that is dropped, and memory without a bound. The
+// oracle follows the table's answers and checks that no two contradict.
+TEST(AttemptTable_ArbitrarySteps, AnswersNeverContradictEachOther) {
+  CHECK(rc::check([] {
+    Model model;
+    Subject subject;
+    const auto steps = *rc::gen::inRange(1, 200);
+    for (int i = 0; i < steps; ++i) {
+      const std::string id = ArbitraryAttempt();
+      const auto fate = model.fates.find(id);
+      const bool is_known = fate != model.fates.end();
+      switch (*rc::gen::inRange(0, 6)) {
+        case 0: {
+          const auto outcome = subject.table.Begin(id, true, subject.now);
+          if (outcome == BeginOutcome::kStart) {
+            RC_ASSERT(!is_known);
+            model.fates[id] = Fate::kQueued;
+          } else if (outcome == BeginOutcome::kFull) {
+            RC_ASSERT(!is_known);
+            model.fates[id] = Fate::kNotRun;
+          } else if (outcome == BeginOutcome::kActive) {
+            RC_ASSERT(is_known && (fate->second == Fate::kQueued ||
+                                   fate->second == Fate::kRunning));
+          } else if (outcome == BeginOutcome::kRevoked) {
+            RC_ASSERT(is_known && fate->second == Fate::kNotRun);
+          }
+          break;
+        }
+        case 1:
+          if (is_known && fate->second == Fate::kQueued) {
+            RC_ASSERT(subject.table.MarkRunning(id));
+            fate->second = Fate::kRunning;
+          } else if (is_known && fate->second == Fate::kNotRun) {
+            RC_ASSERT(!subject.table.MarkRunning(id));
+          }
+          break;
+        case 2:
+          if (is_known && fate->second == Fate::kRunning) {
+            subject.table.Finish(
+                {.done = {.attempt = id, .verdict = Verdict::kRan}}, true,
+                subject.now);
+            fate->second = Fate::kFinished;
+            model.held.insert(id);
+          }
+          break;
+        case 3: {
+          const Verdict verdict = subject.table.Revoke(id, subject.now);
+          if (verdict == Verdict::kNotRun) {
+            RC_ASSERT(!is_known || fate->second == Fate::kQueued ||
+                      fate->second == Fate::kNotRun);
+            model.fates[id] = Fate::kNotRun;
+          }
+          break;
+        }
+        case 4:
+          subject.table.Confirm({id});
+          model.held.erase(id);
+          break;
+        default:
+          subject.now += std::chrono::milliseconds(*rc::gen::inRange(0, 500));
+          subject.table.Expire(subject.now);
+          // Promises hold for the memory's length; the oracle's steps stay
+          // below it and then start afresh.
+          if (subject.now.time_since_epoch() > kMemory / 2) {
+            return;
+          }
+      }
+      RC_ASSERT(subject.table.held_count() == model.held.size());
+      RC_ASSERT(subject.table.size() <= kMaximumAttempts);
+    }
+  }));
+}
+
+TEST_GROUP(AttemptTable_MemoryFull) {
+  AttemptTable table{{.maximum_attempts = 2, .maximum_held_bytes = 100}};
+  TimePoint now{};
+
+  void Hold(const std::string& id) {
+    CHECK(this->table.Begin(id, true, this->now) == BeginOutcome::kStart);
+    CHECK(this->table.MarkRunning(id));
+    this->table.Finish({.done = {.attempt = id, .verdict = Verdict::kRan}},
+                       true, this->now);
+  }
+};
+
+// Guards against a held result that makes room for new work.
+TEST(AttemptTable_MemoryFull, HeldResultStaysAndNewWorkIsRefused) {
+  this->Hold("kept");
+  CHECK(this->table.Begin("new", true, this->now) == BeginOutcome::kFull);
+  CHECK(this->table.Begin("new", true, this->now) == BeginOutcome::kRevoked);
+  CHECK(this->table.FindHeld("kept") != nullptr);
+  this->table.Confirm({"kept"});
+  CHECK(this->table.Begin("new", true, this->now) == BeginOutcome::kRevoked);
+  CHECK(this->table.Begin("later", true, this->now) == BeginOutcome::kStart);
+}
+
+// Guards against a promise that nothing remembers.
+TEST(AttemptTable_MemoryFull, RevokeWithoutRoomForATombstonePromisesNothing) {
+  for (const char* id : {"a", "b", "c", "d"}) {
+    CHECK(this->table.Revoke(id, this->now) == Verdict::kNotRun);
+  }
+  CHECK(this->table.Revoke("e", this->now) == Verdict::kMayHaveRun);
+  CHECK(this->table.Begin("e", true, this->now) ==
+        BeginOutcome::kFullForgotten);
+}
+
+}  // namespace crocus
