Register daemons and issue engine orders through the log

Cause: an engine that ignores fencing numbers takes an order that a paused entry sends late, and a restarted daemon does not know what was accepted before.

Change: OrderFollower reads the stream `orders`, registers each daemon incarnation there, and sends the highest order before the first registration as the floor. All entries compute the same floor; orders that were trimmed before they were read count as stale. An order's number is its offset; a lost append reply is settled by searching for the append's id. POST /v1/orders issues one.

Conclusion: numbers are agreed on through the log alone.

--- /dev/null
+++ b/Libraries/LibLedger/order_ledger.h
@@ -0,0 +1,57 @@
+#ifndef LIBLEDGER_ORDER_LEDGER_H_
+#define LIBLEDGER_ORDER_LEDGER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibLedger/log_client.h"
+#include "LibMessages/messages.h"
+#include "LibMessages/records.h"
+
+namespace crocus {
+
+/// Log stream of engine orders and of daemon starts.
+inline constexpr char kOrderStream[] = "orders";
+
+/// Replay of the stream `orders`. The first registration of a daemon
+/// incarnation fixes the floors of its replicas: the highest order before it.
+/// Not thread-safe.
+class OrderLedger {
+ public:
+  /// Applies a page that was read from next_offset().
+  void Apply(const LogPage& page);
+
+  std::uint64_t next_offset() const { return this->next; }
+
+  /// Floors of a registered incarnation, or nothing.
+  std::optional<std::vector<messages::ReplicaFloor>> FindFloors(
+      std::uint64_t incarnation) const;
+
+  /// Offset of an order by the id of its append, among the newest ones.
+  std::optional<std::uint64_t> FindOrder(const std::string& append_id) const;
+
+ private:
+  /// Appends whose offsets are remembered for writers that lost the reply.
+  static constexpr std::size_t kRememberedAppends = 1024;
+
+  void ApplyRecord(const LogRecord& record);
+  void Register(const records::DaemonRegistered& registered);
+  void RememberAppend(const std::string& id, std::uint64_t offset);
+
+  std::uint64_t next = 1;
+  /// Orders up to here may have been trimmed before they were read.
+  std::uint64_t unread_through = 0;
+  std::map<std::string, std::uint64_t> highest;
+  std::map<std::uint64_t, std::vector<messages::ReplicaFloor>> floors;
+  std::map<std::string, std::uint64_t> appends;
+  std::deque<std::string> append_order;
+};
+
+}  // namespace crocus
+
+#endif  // LIBLEDGER_ORDER_LEDGER_H_
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -23,7 +23,15 @@
                  [this](const std::string& daemon, const auto& offer) {
                    this->batches.OnOffer(daemon, offer);
                  },
-             .on_lost = [](const std::string&) {}}),
+             .on_lost =
+                 [this](const std::string& daemon) {
+                   this->orders.OnLost(daemon);
+                 },
+             .on_frame =
+                 [this](const std::string& daemon, const Frame& frame) {
+                   this->orders.OnFrame(daemon, frame);
+                 }}),
+      orders(this->settings, this->fleet),
       batches(this->settings, this->incarnation, this->fleet),
       requests(this->settings, this->fleet),
       batch_interface(this->batches),
@@ -40,6 +48,7 @@
   this->AddRoutes();
   this->fleet.Start();
   this->batches.Start();
+  this->orders.Start();
   return this->server.Start();
 }
 
@@ -47,6 +56,7 @@
   this->is_leaving = true;
   this->server.Stop();
   this->batches.Stop();
+  this->orders.Stop();
   this->fleet.Stop();
 }
 
@@ -69,6 +79,9 @@
   add("GET", "/v1/results/:id", [this](const HttpRequest& request) {
     return this->requests.Result(request);
   });
+  add("POST", "/v1/orders", [this](const HttpRequest& request) {
+    return this->orders.Issue(request);
+  });
   add("POST", "/v1/batches", [this](const HttpRequest& request) {
     return this->batch_interface.Submit(request);
   });
--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -9,6 +9,7 @@
 #include "Entry/batch_store.h"
 #include "Entry/fleet.h"
 #include "Entry/online_requests.h"
+#include "Entry/order_follower.h"
 #include "LibCore/result.h"
 #include "LibHttp/http_server.h"
 #include "LibNetwork/io_thread.h"
@@ -37,6 +38,7 @@
   std::atomic<bool> is_leaving = false;
   IoThread io;
   Fleet fleet;
+  OrderFollower orders;
   BatchStore batches;
   OnlineRequests requests;
   BatchInterface batch_interface;
--- /dev/null
+++ b/Services/Entry/order_follower.cc
@@ -0,0 +1,252 @@
+#include "Entry/order_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/time.h"
+#include "LibEvents/event_log.h"
+#include "LibHttp/json_response.h"
+#include "LibLedger/append.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::uint32_t kRecordsPerRead = 256;
+
+/// Interval at which daemons without a floor are looked after.
+constexpr std::chrono::milliseconds kLoopInterval{50};
+
+/// Longest time that a lost append reply is searched for in the stream.
+constexpr std::chrono::seconds kSearchLimit{10};
+
+/// Longest time that the issuer of an order waits for the daemon's reply.
+constexpr std::chrono::seconds kReplyLimit{5};
+
+}  // namespace
+
+OrderFollower::OrderFollower(const EntrySettings& settings, Fleet& fleet)
+    : settings(settings), fleet(fleet), log(settings.platform.log_url) {}
+
+OrderFollower::~OrderFollower() {
+  this->Stop();
+}
+
+void OrderFollower::Start() {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+void OrderFollower::Stop() {
+  this->is_stopping = true;
+  this->wake.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+void OrderFollower::OnFrame(const std::string& daemon, const Frame& frame) {
+  using messages::MessageType;
+  std::lock_guard lock(this->mutex);
+  if (frame.type == MessageType::kHello) {
+    if (const auto hello = Decode<messages::Hello>(frame.body)) {
+      this->daemons[daemon] = {.name = hello->name,
+                               .incarnation = hello->incarnation};
+    }
+  } else if (frame.type == MessageType::kLoadReport) {
+    auto& state = this->daemons[daemon];
+    if (!state.replicas.empty()) {
+      return;
+    }
+    if (const auto report = Decode<messages::LoadReport>(frame.body)) {
+      for (const auto& load : report->replicas) {
+        state.replicas.push_back(load.replica);
+      }
+      this->wake.notify_all();
+    }
+  } else if (frame.type == MessageType::kEngineOrderReply) {
+    const auto found = this->replies.find(frame.correlation);
+    const auto reply = Decode<messages::EngineOrderReply>(frame.body);
+    if (found != this->replies.end() && reply) {
+      found->second = *reply;
+      this->wake.notify_all();
+    }
+  }
+}
+
+void OrderFollower::OnLost(const std::string& daemon) {
+  std::lock_guard lock(this->mutex);
+  this->daemons.erase(daemon);
+}
+
+void OrderFollower::Run() {
+  while (!this->is_stopping) {
+    this->GiveFloors();
+    std::unique_lock lock(this->mutex);
+    this->wake.wait_for(lock, kLoopInterval);
+  }
+}
+
+Result<void> OrderFollower::Follow() {
+  std::lock_guard reader(this->follow_mutex);
+  for (;;) {
+    std::uint64_t from = 0;
+    {
+      std::lock_guard lock(this->mutex);
+      from = this->ledger.next_offset();
+    }
+    TRY_ASSIGN(const LogPage page,
+               this->log.Read(kOrderStream, from, kRecordsPerRead));
+    std::lock_guard lock(this->mutex);
+    this->ledger.Apply(page);
+    if (this->ledger.next_offset() >= page.next) {
+      return {};
+    }
+  }
+}
+
+void OrderFollower::GiveFloors() {
+  const auto lacks_floor = [](const auto& item) {
+    return !item.second.has_floor && !item.second.replicas.empty();
+  };
+  {
+    std::lock_guard lock(this->mutex);
+    if (std::none_of(this->daemons.begin(), this->daemons.end(), lacks_floor)) {
+      return;
+    }
+  }
+  if (!this->Follow()) {
+    return;
+  }
+  std::vector<std::pair<std::string, messages::OrderFloor>> given;
+  std::vector<records::Envelope> registrations;
+  {
+    std::lock_guard lock(this->mutex);
+    for (auto& item : this->daemons) {
+      auto& [address, state] = item;
+      if (!lacks_floor(item)) {
+        continue;
+      }
+      if (auto floors = this->ledger.FindFloors(state.incarnation)) {
+        state.has_floor = true;
+        given.emplace_back(
+            address, messages::OrderFloor{.incarnation = state.incarnation,
+                                          .floors = std::move(*floors)});
+      } else {
+        registrations.push_back(MakeEnvelope(
+            records::DaemonRegistered{.daemon = state.name,
+                                      .incarnation = state.incarnation,
+                                      .replicas = state.replicas}));
+        LogEvent(Event::kDaemonRegistered,
+                 {{"daemon", state.name},
+                  {"incarnation", std::to_string(state.incarnation)}});
+      }
+    }
+  }
+  for (const auto& [address, floor] : given) {
+    this->fleet.Send(address, floor);
+  }
+  this->Register(registrations);
+}
+
+void OrderFollower::Register(
+    const std::vector<records::Envelope>& registrations) {
+  if (registrations.empty()) {
+    return;
+  }
+  // The floors are taken from the stream, so an append whose reply is lost
+  // needs no search: the next pass finds its record or registers again, and
+  // the first registration counts.
+  const auto appended = this->log.Append(
+      kOrderStream,
+      Encode(MakeAppend(this->settings.host.name, registrations)));
+  if (!appended) {
+    LogEvent(Event::kLogUnavailable,
+             {{"stream", kOrderStream}, {"reason", appended.error().message}});
+  }
+}
+
+Result<std::uint64_t> OrderFollower::Append(
+    const records::EngineOrderIssued& order) {
+  const auto append =
+      MakeAppend(this->settings.host.name, {MakeEnvelope(order)});
+  const auto appended = this->log.Append(kOrderStream, Encode(append));
+  if (appended || appended.error().verdict == Verdict::kNotRun) {
+    return appended;
+  }
+  LogEvent(Event::kAppendUnknown,
+           {{"stream", kOrderStream}, {"record", append.id}});
+  const TimePoint limit = MonotonicNow() + kSearchLimit;
+  while (MonotonicNow() < limit && !this->is_stopping) {
+    if (this->Follow()) {
+      std::lock_guard lock(this->mutex);
+      if (const auto offset = this->ledger.FindOrder(append.id)) {
+        return *offset;
+      }
+    }
+    std::this_thread::sleep_for(kLoopInterval);
+  }
+  return appended;
+}
+
+std::optional<std::string> OrderFollower::FindDaemon(
+    const std::string& replica) const {
+  std::lock_guard lock(this->mutex);
+  for (const auto& [address, state] : this->daemons) {
+    if (std::find(state.replicas.begin(), state.replicas.end(), replica) !=
+        state.replicas.end()) {
+      return address;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<messages::EngineOrderReply> OrderFollower::WaitForReply(
+    std::uint64_t fencing) {
+  std::unique_lock lock(this->mutex);
+  this->wake.wait_for(lock, kReplyLimit, [this, fencing] {
+    return this->replies[fencing].has_value() || this->is_stopping;
+  });
+  const auto reply = this->replies[fencing];
+  this->replies.erase(fencing);
+  return reply;
+}
+
+HttpResponse OrderFollower::Issue(const HttpRequest& request) {
+  const auto json = ParseJsonObject(request.body);
+  if (!json) {
+    return JsonResponse(400, {{"error", "the body is not a JSON object"}});
+  }
+  const records::EngineOrderIssued order{
+      .replica = json->value("replica", ""),
+      .action = json->value("action", ""),
+      .argument = json->value("argument", "")};
+  const auto daemon = this->FindDaemon(order.replica);
+  if (!daemon) {
+    return JsonResponse(
+        404, {{"error", "no daemon serves replica \"" + order.replica + "\""}});
+  }
+  const auto fencing = this->Append(order);
+  if (!fencing) {
+    return JsonResponse(503, {{"error", fencing.error().message}});
+  }
+  {
+    std::lock_guard lock(this->mutex);
+    this->replies[*fencing] = std::nullopt;
+  }
+  this->fleet.Send(*daemon,
+                   messages::EngineOrder{.replica = order.replica,
+                                         .action = order.action,
+                                         .argument = order.argument,
+                                         .fencing = *fencing},
+                   *fencing);
+  const auto reply = this->WaitForReply(*fencing);
+  if (!reply) {
+    return JsonResponse(202, {{"fencing", *fencing}, {"accepted", nullptr}});
+  }
+  return JsonResponse(reply->accepted ? 200 : 409,
+                      {{"fencing", *fencing},
+                       {"accepted", reply->accepted},
+                       {"reason", reply->reason}});
+}
+
+}  // namespace crocus
