--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -38,6 +38,8 @@
   kCarriedResults = 21,
   kJobForget = 22,
   kTimeMark = 23,
+  kDaemonRegistered = 30,
+  kEngineOrderIssued = 31,
 };
 
 /// True if this version defines the type.
@@ -61,6 +63,8 @@
     case RecordType::kCarriedResults:
     case RecordType::kJobForget:
     case RecordType::kTimeMark:
+    case RecordType::kDaemonRegistered:
+    case RecordType::kEngineOrderIssued:
       return true;
   }
   return false;
@@ -538,6 +542,38 @@
   }
 };
 
+/// A daemon started; earlier orders for its replicas are stale.
+struct DaemonRegistered {
+  static constexpr RecordType kType = RecordType::kDaemonRegistered;
+
+  std::string daemon{};
+  std::uint64_t incarnation{0};
+  std::vector<std::string> replicas{};
+
+  bool operator==(const DaemonRegistered&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(daemon, incarnation, replicas);
+  }
+};
+
+/// Order to an engine; its offset is the fencing number.
+struct EngineOrderIssued {
+  static constexpr RecordType kType = RecordType::kEngineOrderIssued;
+
+  std::string replica{};
+  std::string action{};
+  std::string argument{};
+
+  bool operator==(const EngineOrderIssued&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica, action, argument);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -19,11 +19,19 @@
                  [this](const std::string& daemon, const auto& offer) {
                    this->batches.OnOffer(daemon, offer);
                  },
-             .on_lost = [](const std::string&) {},
+             .on_lost =
+                 [this](const std::string& daemon) {
+                   this->orders.OnLost(daemon);
+                 },
              .on_rules =
                  [this](const std::string& daemon, const auto& push) {
                    this->rules.OnPeerRules(daemon, push);
+                 },
+             .on_frame =
+                 [this](const std::string& daemon, const Frame& frame) {
+                   this->orders.OnFrame(daemon, frame);
                  }}),
+      orders(this->settings, this->fleet),
       rules(this->settings,
             [this](const messages::RulesPush& push) {
               this->fleet.PushRules(push);
@@ -74,6 +82,7 @@
   this->rules.Start();
   this->rules_peers.Start();
   this->batches.Start();
+  this->orders.Start();
   return this->server.Start();
 }
 
@@ -85,6 +94,7 @@
   this->rules.Stop();
   this->rules_peers.Stop();
   this->internal_server.Stop();
+  this->orders.Stop();
   this->fleet.Stop();
 }
 
@@ -108,6 +118,9 @@
   add("GET", "/v1/results/:id", [this](const HttpRequest& request) {
     return this->requests.Result(request);
   });
+  add("POST", "/v1/orders", [this](const HttpRequest& request) {
+    return this->orders.Issue(request);
+  });
   add("POST", "/v1/batches", [this](const HttpRequest& request) {
     return this->batch_interface.Submit(request);
   });
--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -11,6 +11,7 @@
 #include "Entry/internal_server.h"
 #include "Entry/online_requests.h"
 #include "Entry/operator_interface.h"
+#include "Entry/order_follower.h"
 #include "Entry/peer_link.h"
 #include "Entry/rules_follower.h"
 #include "Entry/rules_peers.h"
@@ -47,6 +48,7 @@
   std::atomic<bool> is_leaving = false;
   IoThread io;
   Fleet fleet;
+  OrderFollower orders;
   RulesFollower rules;
   RulesPeers rules_peers;
   InternalServer internal_server;
