--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -8,6 +8,7 @@
 
 #include "LibCore/random.h"
 #include "LibEvents/event_log.h"
+#include "LibRules/rule_parser.h"
 
 namespace crocus {
 
@@ -199,13 +200,19 @@
 }
 
 void Daemon::OnRules(const messages::RulesPush& push) {
-  std::lock_guard lock(this->mutex);
-  if (this->decisions.AcceptRules(push)) {
+  this->Decide([this, &push] {
+    if (!this->decisions.AcceptRules(push)) {
+      return DaemonActions{};
+    }
     this->rules = push;
-    // FIXME: Parse the text and pass it to DaemonDecisions::ApplyRuleSet.
     LogEvent(Event::kRulesInForce, {{"version", std::to_string(push.version)}});
     this->ArmTick(MonotonicNow());
-  }
+    // The log accepts only text that parses; a newer version of the rule
+    // language may still hold rules that this program does not know.
+    const auto parsed = ParseRules("rules", push.text);
+    return parsed ? this->decisions.ApplyRuleSet(parsed->rules)
+                  : DaemonActions{};
+  });
 }
 
 void Daemon::OnRulesQuery(const std::shared_ptr<Connection>& connection,
--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -207,6 +207,7 @@
     case MessageType::kLoadChange:
       if (const auto change = Decode<messages::LoadChange>(frame.body)) {
         this->OnLoadChange(daemon, *change);
+        this->OnRulesVersion(daemon, change->rules_version);
         this->handlers.on_load();
       }
       return;
