Test partition ownership under random faults in virtual time

Cause: the decisions about ownership and dispatch had no test of their own.

Change: a simulation runs one to three entries, two daemons and a log in virtual time. Random faults pause and restart entries, lose daemons, replies and the log, delay appends and cancel the job. Checked are: each item has one result with its own text, a daemon drops a result only when it is in the log, closed jobs send nothing, and a poison item runs three times, then once alone, then is given up.

--- /dev/null
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -0,0 +1,510 @@
+#include "LibLedger/partition_owner.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include "LibLedger/append.h"
+#include "LibLedger/append_queue.h"
+#include "LibLedger/ledger_reader.h"
+#include "fake_log.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr char kStream[] = "batch-0";
+constexpr std::uint32_t kItems = 60;
+/// This item fails on every replica.
+constexpr std::uint32_t kPoison = 5;
+constexpr std::uint32_t kSlots = 3;
+constexpr std::uint32_t kDaemons = 2;
+constexpr std::chrono::milliseconds kStep{20};
+constexpr std::chrono::milliseconds kRunTime{100};
+constexpr std::chrono::milliseconds kTimeout{400};
+
+std::string AnswerTo(std::uint32_t index) {
+  return "answer " + std::to_string(index);
+}
+
+/// Entries, daemons and a log in virtual time, for one partition.
+struct Simulation {
+  struct Node {
+    std::string name;
+    std::uint64_t incarnation = 0;
+    bool is_paused = false;
+    LedgerReader reader{4};
+    std::unique_ptr<PartitionOwner> owner;
+    std::unique_ptr<AppendQueue> queue;
+    std::map<std::string, PeerView> peers;
+    std::uint64_t next_token = 1;
+  };
+  struct Attempt {
+    std::string node;
+    ItemDispatch dispatch;
+    TimePoint end;
+    bool is_alone = false;
+  };
+  struct Daemon {
+    std::map<std::string, Attempt> running;
+    std::map<std::string, messages::HeldResult> held;
+  };
+
+  FakeLog log;
+  TimePoint now{std::chrono::seconds(1)};
+  std::map<std::string, Node> nodes;
+  std::map<std::string, Daemon> daemons;
+  std::uint64_t incarnations = 0;
+  std::uint32_t poison_runs = 0;
+  std::uint32_t claims = 0;
+
+  explicit Simulation(std::uint32_t node_count) {
+    for (std::uint32_t i = 0; i < node_count; ++i) {
+      this->Restart("n" + std::to_string(i));
+    }
+    for (std::uint32_t i = 0; i < kDaemons; ++i) {
+      this->daemons["d" + std::to_string(i)];
+    }
+    records::JobItems items{.job = "j"};
+    for (std::uint32_t i = 0; i < kItems; ++i) {
+      items.items.push_back({.index = i, .prompt = "p"});
+    }
+    this->Append(
+        {MakeEnvelope(
+             records::JobBegin{.job = "j", .workspace = "w", .model = "m"}),
+         MakeEnvelope(items),
+         MakeEnvelope(records::JobCommit{.job = "j", .item_count = kItems})});
+  }
+
+  void Append(std::vector<records::Envelope> envelopes) {
+    this->log.streams[kStream].push_back(
+        {.offset = this->log.streams[kStream].size() + 1,
+         .data = Encode(MakeAppend("client", std::move(envelopes)))});
+  }
+
+  void Restart(const std::string& name) {
+    this->nodes.erase(name);
+    Node& node = this->nodes[name];
+    node.name = name;
+    node.incarnation = ++this->incarnations;
+    node.owner = std::make_unique<PartitionOwner>(
+        PartitionOwnerOptions{.name = name,
+                              .incarnation = node.incarnation,
+                              .heartbeat_timeout = kTimeout},
+        ChooseFairEarliestDue, node.incarnation, this->now);
+    node.queue = std::make_unique<AppendQueue>(
+        AppendQueueOptions{.writer = name},
+        name + "-" + std::to_string(node.incarnation), node.incarnation);
+    for (auto& [daemon_name, daemon] : this->daemons) {
+      for (auto& [id, attempt] : daemon.running) {
+        attempt.node = attempt.node == name ? "" : attempt.node;
+      }
+    }
+  }
+
+  /// The state that a process with the whole log has.
+  PartitionLedger Truth() {
+    PartitionLedger ledger;
+    for (const auto& record : this->log.streams[kStream]) {
+      ledger.Apply(record.offset, record.data);
+    }
+    return ledger;
+  }
+
+  void LoseDaemon(const std::string& name) {
+    for (const auto& [id, attempt] : this->daemons[name].running) {
+      if (const auto node = this->nodes.find(attempt.node);
+          node != this->nodes.end()) {
+        node->second.owner->OnFailed(id, Verdict::kMayHaveRun, this->now);
+      }
+    }
+    this->daemons[name] = {};
+  }
+
+  void OfferAll(Node& node) {
+    for (auto& [name, daemon] : this->daemons) {
+      for (const auto& [id, held] : daemon.held) {
+        node.owner->OnOffer(name, held);
+      }
+    }
+  }
+
+  void RunDaemons() {
+    for (auto& [name, daemon] : this->daemons) {
+      for (auto item = daemon.running.begin(); item != daemon.running.end();) {
+        const auto& [id, attempt] = *item;
+        const auto node = this->nodes.find(attempt.node);
+        if (attempt.end > this->now ||
+            (node != this->nodes.end() && node->second.is_paused)) {
+          ++item;
+          continue;
+        }
+        const auto index = attempt.dispatch.item.index;
+        if (index == kPoison) {
+          ++this->poison_runs;
+          if (node != this->nodes.end()) {
+            node->second.owner->OnFailed(id, Verdict::kRan, this->now);
+          }
+        } else {
+          const messages::HeldResult held{
+              .execute = {.attempt = id,
+                          .request = RequestOf(attempt.dispatch.item)},
+              .done = {.attempt = id, .complete = true},
+              .text = AnswerTo(index)};
+          daemon.held[id] = held;
+          if (node != this->nodes.end()) {
+            node->second.owner->OnOffer(name, held);
+          }
+        }
+        item = daemon.running.erase(item);
+      }
+    }
+  }
+
+  std::vector<ReplicaRoom> Rooms() const {
+    std::vector<ReplicaRoom> rooms;
+    for (const auto& [name, daemon] : this->daemons) {
+      const auto used = static_cast<std::uint32_t>(daemon.running.size());
+      rooms.push_back({.daemon = name,
+                       .replica = name,
+                       .models = {"m"},
+                       .room = kSlots > used ? kSlots - used : 0,
+                       .occupied = used});
+    }
+    return rooms;
+  }
+
+  std::vector<PeerView> PeersOf(const Node& node) const {
+    std::vector<PeerView> views;
+    for (const auto& [name, view] : node.peers) {
+      views.push_back(view);
+    }
+    return views;
+  }
+
+  void RunNode(Node& node) {
+    if (const auto page =
+            this->log.Read(kStream, node.reader.from(), node.reader.limit())) {
+      RC_ASSERT(node.reader.OnPage(*page, [](const LogRecord&) {}).has_value());
+    }
+    auto& ledger = node.reader.ledger();
+    node.owner->OnReplay(ledger, node.reader.is_current(), this->now);
+    RC_ASSERT(!node.owner->is_owner() ||
+              (ledger.owner() == node.name &&
+               ledger.epoch() == node.owner->owned_epoch()));
+    const auto write = [this, &node](records::Envelope envelope) {
+      RC_ASSERT(
+          node.queue->Add(node.next_token++, std::move(envelope), this->now)
+              .has_value());
+    };
+    if (const auto claim =
+            node.owner->ClaimIfDue(ledger, this->PeersOf(node), this->now)) {
+      ++this->claims;
+      write(MakeEnvelope(*claim));
+    }
+    auto rooms = this->Rooms();
+    node.owner->Reserve(rooms);
+    const auto before = rooms;
+    for (const auto& dispatch :
+         node.owner->Dispatch(ledger, rooms, this->now)) {
+      const Job* job = ledger.FindJob(dispatch.item.job);
+      RC_ASSERT(!job->is_closed());
+      RC_ASSERT(!job->IsFinished(dispatch.item.index));
+      const auto room = std::find_if(
+          before.begin(), before.end(), [&dispatch](const auto& candidate) {
+            return candidate.replica == dispatch.replica;
+          });
+      RC_ASSERT(!room->is_reserved);
+      const std::uint32_t failures = job->FailuresOf(dispatch.item.index);
+      RC_ASSERT(failures < 3 || (failures == 3 && room->occupied == 0));
+      auto& running = this->daemons[dispatch.daemon].running;
+      for (const auto& [id, attempt] : running) {
+        RC_ASSERT(!attempt.is_alone || attempt.node != node.name);
+      }
+      running[dispatch.attempt] = {.node = node.name,
+                                   .dispatch = dispatch,
+                                   .end = this->now + kRunTime,
+                                   .is_alone = failures == 3};
+    }
+    const auto output = node.owner->TakeOutput(ledger);
+    if (!output.results.results.empty()) {
+      write(MakeEnvelope(output.results));
+    }
+    if (!output.failures.failures.empty()) {
+      write(MakeEnvelope(output.failures));
+    }
+    for (const auto& place : output.revoke) {
+      this->daemons[place.daemon].running.erase(place.attempt);
+    }
+    if (!output.confirm.empty()) {
+      const auto truth = this->Truth();
+      for (const auto& place : output.confirm) {
+        auto& held = this->daemons[place.daemon].held;
+        if (const auto found = held.find(place.attempt); found != held.end()) {
+          const auto item = ParseItemRequest(found->second.execute.request);
+          const Job* job = truth.FindJob(item->job);
+          RC_ASSERT(job->is_closed() || job->IsFinished(item->index));
+          held.erase(found);
+        }
+      }
+    }
+    const AppendStep step = node.queue->Next(this->now);
+    if (step.kind == AppendStep::Kind::kAppend) {
+      node.queue->OnAppend(this->log.Append(kStream, step.data), this->now);
+    } else if (step.kind == AppendStep::Kind::kRead) {
+      node.queue->OnRead(this->log.Read(kStream, step.from, step.limit),
+                         this->now);
+    }
+  }
+
+  void Step() {
+    this->now += kStep;
+    this->RunDaemons();
+    for (auto& [name, node] : this->nodes) {
+      if (!node.is_paused) {
+        this->RunNode(node);
+      }
+    }
+    // A process that resumes acts before it hears the others again.
+    for (const auto& [name, node] : this->nodes) {
+      for (auto& [other_name, other] : this->nodes) {
+        if (other_name != name && !node.is_paused && !other.is_paused) {
+          other.peers[name] = {.name = name,
+                               .incarnation = node.incarnation,
+                               .heard = this->now};
+        }
+      }
+    }
+  }
+
+  /// Ends all faults and runs until the job is closed everywhere.
+  bool Finish() {
+    this->log.is_out = false;
+    this->log.ShowLateAppends();
+    for (auto& [name, node] : this->nodes) {
+      node.is_paused = false;
+    }
+    const auto is_over = [this] {
+      return std::all_of(this->nodes.begin(), this->nodes.end(),
+                         [](const auto& item) {
+                           const Job* job =
+                               item.second.reader.ledger().FindJob("j");
+                           return job != nullptr && job->is_closed();
+                         }) &&
+             std::all_of(this->daemons.begin(), this->daemons.end(),
+                         [](const auto& item) {
+                           return item.second.held.empty() &&
+                                  item.second.running.empty();
+                         });
+    };
+    constexpr int kStepLimit = 2000;
+    for (int i = 0; i < kStepLimit; ++i) {
+      if (is_over()) {
+        return true;
+      }
+      if (i % 10 == 0) {
+        for (auto& [name, node] : this->nodes) {
+          this->OfferAll(node);
+        }
+      }
+      this->Step();
+    }
+    return false;
+  }
+
+  /// Results of the finished job, by index.
+  std::map<std::uint32_t, records::ItemResult> Results() {
+    std::map<std::uint32_t, records::ItemResult> results;
+    const auto truth = this->Truth();
+    const Job* job = truth.FindJob("j");
+    for (const auto& run : job->result_runs) {
+      const auto append = Decode<records::Append>(
+          this->log.streams[kStream][run.offset - 1].data);
+      for (const auto& result : ReadResults(*append, "j", run)) {
+        RC_ASSERT(results.emplace(result.index, result).second);
+      }
+    }
+    return results;
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(PartitionOwner_RandomFaults){};
+
+// Guards against items that are lost, finished twice or mixed up, results that
+// are dropped by a daemon before they are in the log, work for closed jobs and
+// poison items that run beside others or for ever, while owners pause, die and
+// return, daemons die, replies are lost and the log is away.
+TEST(PartitionOwner_RandomFaults, EveryItemFinishesOnce) {
+  CHECK(rc::check([](const std::vector<std::uint16_t>& faults) {
+    Simulation simulation(1 + faults.size() % 3);
+    bool is_cancelled = false;
+    for (const auto fault : faults) {
+      const std::string node =
+          "n" + std::to_string(fault % simulation.nodes.size());
+      const std::string daemon = "d" + std::to_string(fault % kDaemons);
+      switch (fault / 8 % 12) {
+        case 0:
+          simulation.nodes[node].is_paused = true;
+          break;
+        case 1:
+          simulation.nodes[node].is_paused = false;
+          break;
+        case 2:
+          simulation.Restart(node);
+          break;
+        case 3:
+          simulation.LoseDaemon(daemon);
+          break;
+        case 4:
+          ++simulation.log.lost_replies;
+          break;
+        case 5:
+          ++simulation.log.late_appends;
+          break;
+        case 6:
+          simulation.log.is_out = !simulation.log.is_out;
+          break;
+        case 7:
+          simulation.log.ShowLateAppends();
+          break;
+        case 8:
+          simulation.OfferAll(simulation.nodes[node]);
+          break;
+        case 9:
+          if (fault % 16 == 0 && !is_cancelled) {
+            is_cancelled = true;
+            simulation.Append({MakeEnvelope(records::JobCancel{.job = "j"})});
+          }
+          break;
+        default:
+          break;
+      }
+      for (int i = 0; i < fault / 96 % 30; ++i) {
+        simulation.Step();
+      }
+    }
+    RC_ASSERT(simulation.Finish());
+    const auto results = simulation.Results();
+    const auto truth = simulation.Truth();
+    const Job* job = truth.FindJob("j");
+    RC_ASSERT(is_cancelled || job->state == JobState::kFinished);
+    RC_ASSERT(job->finished_count == results.size());
+    RC_ASSERT(is_cancelled || results.size() == kItems);
+    for (const auto& [index, result] : results) {
+      if (result.succeeded) {
+        RC_ASSERT(result.text == AnswerTo(index));
+        RC_ASSERT(index != kPoison);
+      } else {
+        RC_ASSERT(result.reason == std::string("failed_repeatedly"));
+      }
+    }
+  }));
+}
+
+TEST_GROUP(PartitionOwner_TwoEntries) {
+  Simulation simulation{2};
+
+  void StepFor(std::chrono::milliseconds time) {
+    for (auto passed = std::chrono::milliseconds(0); passed < time;
+         passed += kStep) {
+      this->simulation.Step();
+    }
+  }
+
+  std::string OwnerName() {
+    return this->simulation.Truth().owner();
+  }
+};
+
+// Guards against entries that take partitions from an owner that is alive.
+TEST(PartitionOwner_TwoEntries, LivingOwnerIsNotReplaced) {
+  // Both may claim at the start; replay lets one of them win.
+  this->StepFor(std::chrono::seconds(1));
+  const auto claims = this->simulation.claims;
+  const auto epoch = this->simulation.Truth().epoch();
+  CHECK(epoch != 0);
+  this->StepFor(std::chrono::seconds(20));
+  CHECK_EQUAL(claims, this->simulation.claims);
+  CHECK_EQUAL(epoch, this->simulation.Truth().epoch());
+  CHECK(this->simulation.Truth().FindJob("j")->state == JobState::kFinished);
+  // One run in each of three shared attempts, and one alone.
+  CHECK_EQUAL(4, this->simulation.poison_runs);
+}
+
+// Guards against a paused owner that still acts, or claims back, when it
+// resumes: it must see the newer epoch first, and silence that it slept
+// through says nothing about its successor.
+TEST(PartitionOwner_TwoEntries, PausedOwnerIsReplacedAndStops) {
+  this->StepFor(std::chrono::milliseconds(600));
+  const std::string first = this->OwnerName();
+  CHECK_FALSE(first.empty());
+  this->simulation.nodes[first].is_paused = true;
+  this->StepFor(std::chrono::seconds(2));
+  const std::string second = this->OwnerName();
+  CHECK(first != second);
+  const auto epoch = this->simulation.Truth().epoch();
+  this->simulation.nodes[first].is_paused = false;
+  this->StepFor(std::chrono::seconds(5));
+  CHECK_FALSE(this->simulation.nodes[first].owner->is_owner());
+  CHECK_EQUAL(epoch, this->simulation.Truth().epoch());
+  CHECK(this->simulation.Finish());
+}
+
+// Guards against an entry that takes its own pause for the owner's silence.
+TEST(PartitionOwner_TwoEntries, ResumedEntryDoesNotReplaceALivingOwner) {
+  this->StepFor(std::chrono::seconds(1));
+  const std::string owner = this->OwnerName();
+  const auto epoch = this->simulation.Truth().epoch();
+  auto& other = this->simulation.nodes[owner == "n0" ? "n1" : "n0"];
+  other.is_paused = true;
+  this->StepFor(std::chrono::seconds(3));
+  other.is_paused = false;
+  this->StepFor(std::chrono::seconds(3));
+  CHECK_EQUAL(epoch, this->simulation.Truth().epoch());
+}
+
+// Guards against a cancelled batch whose items go on running.
+TEST(PartitionOwner_TwoEntries, CancelRevokesRunningItems) {
+  const auto running = [this] {
+    std::size_t count = 0;
+    for (const auto& [name, daemon] : this->simulation.daemons) {
+      count += daemon.running.size();
+    }
+    return count;
+  };
+  for (int i = 0; i < 1000 && running() == 0; ++i) {
+    this->simulation.Step();
+  }
+  CHECK_EQUAL(kDaemons * kSlots, running());
+  this->simulation.Append({MakeEnvelope(records::JobCancel{.job = "j"})});
+  this->simulation.Step();
+  CHECK_EQUAL(0, running());
+}
+
+// Guards against a takeover that waits for the timeout after a release.
+TEST(PartitionOwner_TwoEntries, ReleasedPartitionIsClaimedWithoutTheTimeout) {
+  this->StepFor(std::chrono::milliseconds(800));
+  const auto epoch = this->simulation.Truth().epoch();
+  const std::string first = this->OwnerName();
+  this->simulation.nodes[first].owner->Leave();
+  this->simulation.Append({MakeEnvelope(records::Release{.epoch = epoch})});
+  this->StepFor(kTimeout);
+  CHECK(this->OwnerName() != first);
+  CHECK_FALSE(this->OwnerName().empty());
+}
+
+TEST_GROUP(JobOrder_TwoWorkspaces){};
+
+// Guards against one workspace's large job that keeps another one waiting.
+TEST(JobOrder_TwoWorkspaces, PrefersTheWorkspaceWithLessRunning) {
+  CHECK_EQUAL(1, ChooseFairEarliestDue(
+                     {{.id = "a", .due_ms = 1, .workspace_running = 3},
+                      {.id = "b", .due_ms = 9, .workspace_running = 1},
+                      {.id = "c", .due_ms = 10, .workspace_running = 1}}));
+}
+
+}  // namespace crocus
