--- a/Services/Entry/peer_link.cc
+++ b/Services/Entry/peer_link.cc
@@ -145,7 +145,10 @@
 
 std::shared_ptr<FrameClient> PeerLink::ClientOf(const std::string& name) {
   const auto peer = this->known.find(name);
-  if (peer == this->known.end() || this->is_stopped) {
+  // A query to a silent entry would only cost its time limit.
+  if (peer == this->known.end() || this->is_stopped ||
+      peer->second.view.heard + this->settings.batch.heartbeat_timeout <
+          MonotonicNow()) {
     return nullptr;
   }
   const std::string& address = peer->second.address;
--- a/Services/Entry/peer_link.h
+++ b/Services/Entry/peer_link.h
@@ -74,6 +74,7 @@
   void OnReply(const Frame& frame);
   void OnClosed(const std::string& address);
   void SendHeartbeats();
+  /// Nothing if the entry is unknown or silent. Requires the lock.
   std::shared_ptr<FrameClient> ClientOf(const std::string& name);
 
   IoThread& io;
