Share room figures and result records between dispatch rounds

Cause: each partition looked at the whole fleet in each round, and each result became a record of its own, for which replay keeps an entry.

Change: the room of the fleet is worked out at most every 20 ms and shared by the partitions; results wait up to result_delay (250 ms) for others. The checks after a replay run only when something changed. Replicas on which an item runs alone are known to all partitions of the entry.

Conclusion: the work of a round follows the items that run.

--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -122,6 +122,7 @@
 void PartitionOwner::OnReplay(PartitionLedger& ledger,
                               bool is_current,
                               TimePoint now) {
+  this->must_check = this->must_check || this->has_reached_end != is_current;
   this->has_reached_end = is_current;
   if (ledger.epoch() != this->seen_epoch ||
       ledger.owner() != this->seen_owner) {
@@ -139,6 +140,7 @@
   }
   if (owns && !this->is_owner()) {
     this->own_epoch = ledger.epoch();
+    this->must_check = true;
     this->Start(ledger);
   } else if (this->is_owner()) {
     for (const auto& id : changed) {
@@ -150,9 +152,13 @@
       }
     }
   }
-  this->CheckFailing(ledger);
-  this->CheckOffers(ledger);
-  this->CheckRunning(ledger);
+  if (this->must_check || this->checked_offset != ledger.next_offset()) {
+    this->must_check = false;
+    this->checked_offset = ledger.next_offset();
+    this->CheckFailing(ledger);
+    this->CheckOffers(ledger);
+    this->CheckRunning(ledger);
+  }
 }
 
 void PartitionOwner::Start(const PartitionLedger& ledger) {
@@ -284,7 +290,8 @@
                         .epoch = this->own_epoch,
                         .daemon = room.daemon,
                         .endpoint = room.endpoint,
-                        .replica = room.replica};
+                        .replica = room.replica,
+                        .is_alone = is_alone};
   --room.room;
   ++room.occupied;
   this->MarkBusy(dispatch.item);
@@ -354,18 +361,6 @@
   }
 }
 
-void PartitionOwner::Reserve(std::vector<ReplicaRoom>& rooms) const {
-  for (const auto& [attempt, item] : this->running) {
-    if (!item.is_alone) {
-      continue;
-    }
-    for (auto& room : rooms) {
-      room.is_reserved = room.is_reserved || (room.daemon == item.daemon &&
-                                              room.replica == item.replica);
-    }
-  }
-}
-
 std::vector<ItemDispatch> PartitionOwner::Dispatch(
     const PartitionLedger& ledger,
     std::vector<ReplicaRoom>& rooms,
@@ -451,6 +446,7 @@
 
 void PartitionOwner::OnOffer(const std::string& daemon,
                              const messages::HeldResult& held) {
+  this->must_check = true;
   auto item = ParseItemRequest(held.execute.request);
   if (!item) {
     this->output.confirm.push_back(
@@ -548,26 +544,33 @@
   }
 }
 
-OwnerOutput PartitionOwner::TakeOutput(const PartitionLedger& ledger) {
+OwnerOutput PartitionOwner::TakeOutput(const PartitionLedger& ledger,
+                                       TimePoint now) {
   OwnerOutput taken = std::exchange(this->output, {});
   if (!this->is_owner()) {
     return taken;
   }
   taken.results.epoch = this->own_epoch;
   taken.failures.epoch = this->own_epoch;
-  std::size_t bytes = 0;
-  for (auto& [attempt, offer] : this->offers) {
-    const Job* job = ledger.FindJob(offer.item.job);
-    if (offer.is_written || job == nullptr ||
-        job->state != JobState::kAccepted) {
-      continue;
+  if (now >= this->next_output ||
+      this->offer_bytes >= this->options.output_bytes) {
+    std::size_t bytes = 0;
+    for (auto& [attempt, offer] : this->offers) {
+      const Job* job = ledger.FindJob(offer.item.job);
+      if (offer.is_written || job == nullptr ||
+          job->state != JobState::kAccepted) {
+        continue;
+      }
+      if (bytes > this->options.output_bytes) {
+        break;
+      }
+      bytes += offer.result.text.size();
+      offer.is_written = true;
+      taken.results.results.push_back(offer.result);
     }
-    if (bytes > this->options.output_bytes) {
-      break;
+    if (!taken.results.results.empty()) {
+      this->next_output = now + this->options.output_interval;
     }
-    bytes += offer.result.text.size();
-    offer.is_written = true;
-    taken.results.results.push_back(offer.result);
   }
   for (auto& [item, state] : this->failing) {
     const Job* job = ledger.FindJob(item.job);
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -91,6 +91,8 @@
   std::string daemon;
   std::string endpoint;
   std::string replica;
+  /// Nothing else may be sent to the replica until the attempt ends.
+  bool is_alone = false;
 
   bool operator==(const ItemDispatch&) const = default;
 };
@@ -131,6 +133,10 @@
   Duration refusal_pause = std::chrono::milliseconds(200);
   /// Bytes of results in one TakeOutput.
   std::size_t output_bytes = 256u << 10;
+  /// Results wait this long to share a record, unless output_bytes are there.
+  /// Replay keeps one entry for each job and record, and the log takes several
+  /// hundred appends/s from all partitions, so a short time costs both.
+  Duration output_interval = std::chrono::milliseconds(0);
 };
 
 /// Decisions of one entry about one partition: when to claim it and, while it
@@ -170,8 +176,8 @@
   std::vector<ItemDispatch> Dispatch(const PartitionLedger& ledger,
                                      std::vector<ReplicaRoom>& rooms,
                                      TimePoint now);
-  /// Marks the replicas on which items run alone.
-  void Reserve(std::vector<ReplicaRoom>& rooms) const;
+  /// True if a job of this partition is open.
+  bool has_open_jobs() const { return !this->works.empty(); }
 
   /// The attempt was not sent; the item waits again.
   void OnNotSent(const std::string& attempt, TimePoint now);
@@ -181,7 +187,7 @@
   /// offer is kept, within a limit, for a takeover.
   void OnOffer(const std::string& daemon, const messages::HeldResult& held);
 
-  OwnerOutput TakeOutput(const PartitionLedger& ledger);
+  OwnerOutput TakeOutput(const PartitionLedger& ledger, TimePoint now);
   /// The writer refused the output's records; they are put out again.
   void OnWriteRefused(const OwnerOutput& refused);
 
@@ -262,6 +268,11 @@
   std::uint64_t own_epoch = 0;
   bool is_leaving = false;
   bool has_reached_end = false;
+  /// What the checks after a replay saw last; without a change they are left
+  /// out, because they look at every item that runs.
+  std::uint64_t checked_offset = 0;
+  bool must_check = false;
+  TimePoint next_output{};
 
   /// Owner and epoch that replay showed last, and since when.
   std::uint64_t seen_epoch = 0;
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -61,6 +61,9 @@
   reader.Read("batch", "commit_bytes",
               {.required = false, .minimum = 1024, .maximum = 16777216},
               settings.batch.commit_bytes);
+  reader.Read("batch", "result_delay",
+              {.required = false, .minimum = 0, .maximum = 60000},
+              settings.batch.result_delay);
   reader.Read("batch", "failure_limit",
               {.required = false, .minimum = 1, .maximum = 60},
               settings.batch.failure_limit);
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -71,6 +71,9 @@
     std::chrono::milliseconds commit_delay{50};
     /// Largest append in bytes.
     std::uint64_t commit_bytes{524288};
+    /// Longest time results wait to share a record. The log takes several
+    /// hundred appends/s, so more partitions need a longer delay.
+    std::chrono::milliseconds result_delay{250};
     /// Failed attempts after which an item runs alone once more and is then
     /// given up.
     std::uint32_t failure_limit{3};
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -18,6 +18,8 @@
 /// Shortest time between two rounds of a follower, so that load reports of a
 /// large fleet are handled together.
 constexpr std::chrono::milliseconds kShortestRound{5};
+/// How long a look at the rooms of the whole fleet is used.
+constexpr std::chrono::milliseconds kRoomsInterval{20};
 /// Longest time a follower sleeps; claims are checked this often.
 constexpr std::chrono::milliseconds kLongestRound{50};
 constexpr std::chrono::seconds kMaintenanceInterval{1};
@@ -40,7 +42,8 @@
           .incarnation = incarnation,
           .heartbeat_timeout = settings.batch.heartbeat_timeout,
           .failure_limit = settings.batch.failure_limit,
-          .output_bytes = settings.batch.commit_bytes / 2};
+          .output_bytes = settings.batch.commit_bytes / 2,
+          .output_interval = settings.batch.result_delay};
 }
 
 std::string RoomKey(const std::string& daemon, const std::string& replica) {
@@ -555,14 +558,18 @@
 }
 
 std::vector<ReplicaRoom> BatchStore::MakeRooms() const {
+  std::set<std::string> reserved;
+  for (const auto& attempt : this->rooms.alone) {
+    reserved.insert(this->rooms.replicas.at(attempt));
+  }
   std::vector<ReplicaRoom> all;
   const auto& host = this->settings.host;
   for (const auto& view : this->fleet.AllReplicas()) {
     if (view.load.leaving) {
       continue;
     }
-    const auto sent =
-        this->rooms.counts.find(RoomKey(view.daemon, view.load.replica));
+    const std::string key = RoomKey(view.daemon, view.load.replica);
+    const auto sent = this->rooms.counts.find(key);
     const std::uint32_t occupied =
         std::max(view.load.batch_running,
                  sent == this->rooms.counts.end() ? 0 : sent->second);
@@ -575,6 +582,7 @@
                    .models = view.load.models,
                    .room = capacity > occupied ? capacity - occupied : 0,
                    .occupied = occupied,
+                   .is_reserved = reserved.contains(key),
                    .distance = view.availability_zone == host.availability_zone
                                    ? 0u
                                : view.region == host.region ? 1u
@@ -586,7 +594,7 @@
 void BatchStore::Dispatch(Partition& partition) {
   {
     std::lock_guard lock(partition.mutex);
-    if (!partition.owner.is_owner()) {
+    if (!partition.owner.is_owner() || !partition.owner.has_open_jobs()) {
       return;
     }
   }
@@ -595,14 +603,20 @@
   {
     std::lock_guard lock(partition.mutex);
     std::lock_guard rooms_lock(this->rooms_mutex);
-    auto free_rooms = this->MakeRooms();
-    partition.owner.Reserve(free_rooms);
+    const TimePoint now = MonotonicNow();
+    if (this->rooms.made + kRoomsInterval < now) {
+      this->rooms.free = this->MakeRooms();
+      this->rooms.made = now;
+    }
     const auto& ledger = partition.reader.ledger();
-    items = partition.owner.Dispatch(ledger, free_rooms, MonotonicNow());
+    items = partition.owner.Dispatch(ledger, this->rooms.free, now);
     for (const auto& item : items) {
       const std::string key = RoomKey(item.daemon, item.replica);
       this->rooms.replicas[item.attempt] = key;
       ++this->rooms.counts[key];
+      if (item.is_alone) {
+        this->rooms.alone.insert(item.attempt);
+      }
       if (const Job* job = ledger.FindJob(item.item.job);
           job != nullptr && !jobs.contains(job->id)) {
         jobs[job->id] = {.id = job->id,
@@ -686,6 +700,7 @@
     this->rooms.counts.erase(found->second);
   }
   this->rooms.replicas.erase(found);
+  this->rooms.alone.erase(attempt);
 }
 
 bool BatchStore::Write(Partition& partition, records::Envelope envelope) {
@@ -703,7 +718,8 @@
   OwnerOutput output;
   {
     std::lock_guard lock(partition.mutex);
-    output = partition.owner.TakeOutput(partition.reader.ledger());
+    output =
+        partition.owner.TakeOutput(partition.reader.ledger(), MonotonicNow());
   }
   for (const auto& item : output.given_up) {
     LogEvent(Event::kItemGivenUp,
--- a/Services/Entry/batch_store.h
+++ b/Services/Entry/batch_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -124,10 +125,16 @@
     std::vector<Partition*> partitions;
     std::thread thread;
   };
-  /// Attempts sent by this entry that have not ended, for each replica.
+  /// Room of the replicas as this entry sees it.
   struct Rooms {
+    /// Replica of each attempt that was sent and has not ended.
     std::map<std::string, std::string> replicas;
+    /// Attempts of `replicas` that run alone.
+    std::set<std::string> alone;
     std::map<std::string, std::uint32_t> counts;
+    /// What is free, reduced by each dispatch, and when it was worked out.
+    std::vector<ReplicaRoom> free;
+    TimePoint made{};
   };
 
   void Run(Follower& follower);
--- a/Tests/LibLedger/partition_owner_test.cc
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -45,7 +45,6 @@
     std::string node;
     ItemDispatch dispatch;
     TimePoint end;
-    bool is_alone = false;
   };
   struct Daemon {
     std::map<std::string, Attempt> running;
@@ -171,7 +170,12 @@
                        .replica = name,
                        .models = {"m"},
                        .room = kSlots > used ? kSlots - used : 0,
-                       .occupied = used});
+                       .occupied = used,
+                       .is_reserved = std::any_of(
+                           daemon.running.begin(), daemon.running.end(),
+                           [](const auto& item) {
+                             return item.second.dispatch.is_alone;
+                           })});
     }
     return rooms;
   }
@@ -205,7 +209,6 @@
       write(MakeEnvelope(*claim));
     }
     auto rooms = this->Rooms();
-    node.owner->Reserve(rooms);
     const auto before = rooms;
     for (const auto& dispatch :
          node.owner->Dispatch(ledger, rooms, this->now)) {
@@ -218,17 +221,16 @@
           });
       RC_ASSERT(!room->is_reserved);
       const std::uint32_t failures = job->FailuresOf(dispatch.item.index);
+      RC_ASSERT(dispatch.is_alone == (failures == 3));
       RC_ASSERT(failures < 3 || (failures == 3 && room->occupied == 0));
       auto& running = this->daemons[dispatch.daemon].running;
       for (const auto& [id, attempt] : running) {
-        RC_ASSERT(!attempt.is_alone || attempt.node != node.name);
+        RC_ASSERT(!attempt.dispatch.is_alone);
       }
-      running[dispatch.attempt] = {.node = node.name,
-                                   .dispatch = dispatch,
-                                   .end = this->now + kRunTime,
-                                   .is_alone = failures == 3};
+      running[dispatch.attempt] = {
+          .node = node.name, .dispatch = dispatch, .end = this->now + kRunTime};
     }
-    const auto output = node.owner->TakeOutput(ledger);
+    const auto output = node.owner->TakeOutput(ledger, this->now);
     if (!output.results.results.empty()) {
       write(MakeEnvelope(output.results));
     }
