Reject truncated batch results and forget broken submissions

Cause: a held result became an item's result without a look at its checksum. A submission that broke off stayed in memory for ever. A page that starts before the asked offset aborted the reader.

Change: a held result that is not complete or does not match its checksum counts as a failed attempt. The owner forgets a job that is still being received once its newest items are older than half of the log's retention. Records before the asked offset are left out. A page of results holds at most 4 MB, so that it fits into a frame when escaped.

Check: the new test fails when the checksum is not compared.

--- a/Libraries/LibLedger/job.cc
+++ b/Libraries/LibLedger/job.cc
@@ -55,6 +55,14 @@
   return index - run->second.first < run->second.count ? run->second.offset : 0;
 }
 
+std::uint64_t Job::NewestBodyOffset() const {
+  std::uint64_t newest = 0;
+  for (const auto& [first, run] : this->item_runs) {
+    newest = std::max(newest, run.offset);
+  }
+  return newest;
+}
+
 void Job::Receive(std::uint32_t index, std::uint64_t offset) {
   if (index >= kLargestItems || this->HasReceived(index)) {
     return;
--- a/Libraries/LibLedger/job.h
+++ b/Libraries/LibLedger/job.h
@@ -60,6 +60,8 @@
   std::uint32_t FailuresOf(std::uint32_t index) const;
   /// Offset of the append that holds the item's body; 0 if there is none.
   std::uint64_t BodyOffset(std::uint32_t index) const;
+  /// Offset of the newest append that holds a body; 0 if there is none.
+  std::uint64_t NewestBodyOffset() const;
 
   void Receive(std::uint32_t index, std::uint64_t offset);
   /// Moves the body of a received item to another append.
--- a/Libraries/LibLedger/ledger_reader.cc
+++ b/Libraries/LibLedger/ledger_reader.cc
@@ -46,8 +46,10 @@
     return {};
   }
   for (const auto& record : page.records) {
-    this->state.Apply(record.offset, record.data);
-    on_record(record);
+    if (record.offset >= this->state.next_offset()) {
+      this->state.Apply(record.offset, record.data);
+      on_record(record);
+    }
   }
   this->has_reached_end = this->state.next_offset() >= page.next;
   return {};
--- a/Libraries/LibLedger/partition_ledger.cc
+++ b/Libraries/LibLedger/partition_ledger.cc
@@ -270,7 +270,7 @@
 void PartitionLedger::OnJobForget(const records::JobForget& forget) {
   const auto found = this->all_jobs.find(forget.job);
   if (forget.epoch == this->current_epoch && found != this->all_jobs.end() &&
-      found->second.is_closed()) {
+      found->second.state != JobState::kAccepted) {
     this->all_jobs.erase(found);
     this->changed_jobs.insert(forget.job);
   }
--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -445,10 +445,16 @@
 }
 
 void PartitionOwner::OnOffer(const std::string& daemon,
-                             const messages::HeldResult& held) {
+                             const messages::HeldResult& held,
+                             TimePoint now) {
   this->must_check = true;
   auto item = ParseItemRequest(held.execute.request);
-  if (!item) {
+  const bool is_whole =
+      held.done.complete && held.done.checksum == HashBytes(held.text);
+  if (!is_whole) {
+    this->OnFailed(held.execute.attempt, Verdict::kRan, now);
+  }
+  if (!item || !is_whole) {
     this->output.confirm.push_back(
         {.daemon = daemon, .attempt = held.execute.attempt});
     return;
@@ -474,10 +480,10 @@
   } else {
     this->MarkBusy(*item);
   }
-  this->DropOldOffers();
+  this->DropExcessOffers();
 }
 
-void PartitionOwner::DropOldOffers() {
+void PartitionOwner::DropExcessOffers() {
   // An owner stops sending items instead, so that its offers are bounded.
   while (!this->is_owner() && this->offer_bytes > this->options.held_bytes &&
          !this->offers.empty()) {
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -184,8 +184,11 @@
   /// The attempt ended without a result, or its daemon was lost.
   void OnFailed(const std::string& attempt, Verdict verdict, TimePoint now);
   /// A daemon holds a result. Also called while another entry is the owner: the
-  /// offer is kept, within a limit, for a takeover.
-  void OnOffer(const std::string& daemon, const messages::HeldResult& held);
+  /// offer is kept, within a limit, for a takeover. A result that is not whole
+  /// counts as a failed attempt.
+  void OnOffer(const std::string& daemon,
+               const messages::HeldResult& held,
+               TimePoint now);
 
   OwnerOutput TakeOutput(const PartitionLedger& ledger, TimePoint now);
   /// The writer refused the output's records; they are put out again.
@@ -255,7 +258,7 @@
   void CheckFailing(const PartitionLedger& ledger);
   void CheckOffers(const PartitionLedger& ledger);
   void CheckRunning(const PartitionLedger& ledger);
-  void DropOldOffers();
+  void DropExcessOffers();
   ReplicaRoom* FindRoom(const Job& job,
                         std::vector<ReplicaRoom>& rooms,
                         TimePoint now);
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -370,7 +370,7 @@
   }
 };
 
-/// The retention of a closed job's results is over.
+/// The retention of a closed job is over, or a submission was left incomplete.
 struct JobForget {
   static constexpr RecordType kType = RecordType::kJobForget;
 
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -28,7 +28,8 @@
 constexpr std::chrono::seconds kDrainLimit{5};
 constexpr std::chrono::seconds kStopWriteLimit{3};
 constexpr std::size_t kBodyCacheBytes = 32u << 20;
-constexpr std::size_t kLargestPageBytes = 8u << 20;
+/// Escaped as JSON the page still fits into one frame.
+constexpr std::size_t kLargestPageBytes = 4u << 20;
 /// Appends that one maintenance writes again.
 constexpr std::uint32_t kCarriedRuns = 64;
 /// A snapshot is due once this many times its size was appended.
@@ -410,7 +411,7 @@
     auto& partition = this->PartitionOfJob(item ? item->job : "");
     {
       std::lock_guard lock(partition.mutex);
-      partition.owner.OnOffer(daemon, held);
+      partition.owner.OnOffer(daemon, held, MonotonicNow());
     }
     this->Poke(partition, false);
   }
@@ -780,7 +781,17 @@
       envelopes.push_back(
           MakeEnvelope(records::TimeMark{.epoch = epoch, .unix_ms = unix_ms}));
     }
+    const std::uint64_t old = ledger.OffsetBefore(
+        unix_ms - this->settings.batch.log_retention.count() / 2);
     for (const auto& [id, job] : ledger.jobs()) {
+      // The submission broke off long ago; a resend starts anew.
+      const std::uint64_t newest =
+          job.state == JobState::kReceiving ? job.NewestBodyOffset() : 0;
+      if (newest > 0 && newest <= old) {
+        envelopes.push_back(
+            MakeEnvelope(records::JobForget{.epoch = epoch, .job = id}));
+        continue;
+      }
       const std::int64_t closed =
           job.is_closed() ? ledger.LatestTimeOf(job.closed_offset) : 0;
       if (closed != 0 &&
@@ -822,6 +833,9 @@
     }
     epoch = partition.owner.owned_epoch();
     for (const auto& [id, job] : ledger.jobs()) {
+      if (job.state == JobState::kReceiving) {
+        continue;
+      }
       for (const auto& [first, run] : job.item_runs) {
         if (run.offset > old || moves.size() >= kCarriedRuns) {
           continue;
--- a/Tests/LibLedger/partition_owner_test.cc
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 #include <rapidcheck.h>
 
+#include "LibCore/hashing.h"
 #include "LibLedger/append.h"
 #include "LibLedger/append_queue.h"
 #include "LibLedger/ledger_reader.h"
@@ -125,7 +126,7 @@
   void OfferAll(Node& node) {
     for (auto& [name, daemon] : this->daemons) {
       for (const auto& [id, held] : daemon.held) {
-        node.owner->OnOffer(name, held);
+        node.owner->OnOffer(name, held, this->now);
       }
     }
   }
@@ -150,11 +151,13 @@
           const messages::HeldResult held{
               .execute = {.attempt = id,
                           .request = RequestOf(attempt.dispatch.item)},
-              .done = {.attempt = id, .complete = true},
+              .done = {.attempt = id,
+                       .complete = true,
+                       .checksum = HashBytes(AnswerTo(index))},
               .text = AnswerTo(index)};
           daemon.held[id] = held;
           if (node != this->nodes.end()) {
-            node->second.owner->OnOffer(name, held);
+            node->second.owner->OnOffer(name, held, this->now);
           }
         }
         item = daemon.running.erase(item);
@@ -469,6 +472,34 @@
   CHECK_EQUAL(epoch, this->simulation.Truth().epoch());
 }
 
+// Guards against a truncated answer that becomes an item's result.
+TEST(PartitionOwner_TwoEntries, TruncatedResultCountsAsAFailure) {
+  this->StepFor(std::chrono::milliseconds(600));
+  Simulation::Node& owner = this->simulation.nodes[this->OwnerName()];
+  for (int i = 0; i < 100 && owner.owner->running_count() == 0; ++i) {
+    this->simulation.Step();
+  }
+  for (auto& [name, daemon] : this->simulation.daemons) {
+    for (const auto& [id, attempt] : daemon.running) {
+      owner.owner->OnOffer(
+          name,
+          {.execute = {.attempt = id,
+                       .request = RequestOf(attempt.dispatch.item)},
+           .done = {.attempt = id,
+                    .complete = true,
+                    .checksum = HashBytes("whole")},
+           .text = "who"},
+          this->simulation.now);
+    }
+    daemon.running.clear();
+  }
+  CHECK_EQUAL(0, owner.owner->running_count());
+  CHECK(this->simulation.Finish());
+  for (const auto& [index, result] : this->simulation.Results()) {
+    CHECK(result.text != "who");
+  }
+}
+
 // Guards against a cancelled batch whose items go on running.
 TEST(PartitionOwner_TwoEntries, CancelRevokesRunningItems) {
   const auto running = [this] {
