--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -18,6 +18,8 @@
 /// Shortest time between two rounds of a follower, so that load reports of a
 /// large fleet are handled together.
 constexpr std::chrono::milliseconds kShortestRound{5};
+/// How long a look at the rooms of the whole fleet is used.
+constexpr std::chrono::milliseconds kRoomsInterval{20};
 /// Longest time a follower sleeps; claims are checked this often.
 constexpr std::chrono::milliseconds kLongestRound{50};
 constexpr std::chrono::seconds kMaintenanceInterval{1};
@@ -26,7 +28,8 @@
 constexpr std::chrono::seconds kDrainLimit{5};
 constexpr std::chrono::seconds kStopWriteLimit{3};
 constexpr std::size_t kBodyCacheBytes = 32u << 20;
-constexpr std::size_t kLargestPageBytes = 8u << 20;
+/// Escaped as JSON the page still fits into one frame.
+constexpr std::size_t kLargestPageBytes = 4u << 20;
 /// Appends that one maintenance writes again.
 constexpr std::uint32_t kCarriedRuns = 64;
 /// A snapshot is due once this many times its size was appended.
@@ -40,7 +43,8 @@
           .incarnation = incarnation,
           .heartbeat_timeout = settings.batch.heartbeat_timeout,
           .failure_limit = settings.batch.failure_limit,
-          .output_bytes = settings.batch.commit_bytes / 2};
+          .output_bytes = settings.batch.commit_bytes / 2,
+          .output_interval = settings.batch.result_delay};
 }
 
 std::string RoomKey(const std::string& daemon, const std::string& replica) {
@@ -407,7 +411,7 @@
     auto& partition = this->PartitionOfJob(item ? item->job : "");
     {
       std::lock_guard lock(partition.mutex);
-      partition.owner.OnOffer(daemon, held);
+      partition.owner.OnOffer(daemon, held, MonotonicNow());
     }
     this->Poke(partition, false);
   }
@@ -555,14 +559,18 @@
 }
 
 std::vector<ReplicaRoom> BatchStore::MakeRooms() const {
+  std::set<std::string> reserved;
+  for (const auto& attempt : this->rooms.alone) {
+    reserved.insert(this->rooms.replicas.at(attempt));
+  }
   std::vector<ReplicaRoom> all;
   const auto& host = this->settings.host;
   for (const auto& view : this->fleet.AllReplicas()) {
     if (view.load.leaving) {
       continue;
     }
-    const auto sent =
-        this->rooms.counts.find(RoomKey(view.daemon, view.load.replica));
+    const std::string key = RoomKey(view.daemon, view.load.replica);
+    const auto sent = this->rooms.counts.find(key);
     const std::uint32_t occupied =
         std::max(view.load.batch_running,
                  sent == this->rooms.counts.end() ? 0 : sent->second);
@@ -575,6 +583,7 @@
                    .models = view.load.models,
                    .room = capacity > occupied ? capacity - occupied : 0,
                    .occupied = occupied,
+                   .is_reserved = reserved.contains(key),
                    .distance = view.availability_zone == host.availability_zone
                                    ? 0u
                                : view.region == host.region ? 1u
@@ -586,7 +595,7 @@
 void BatchStore::Dispatch(Partition& partition) {
   {
     std::lock_guard lock(partition.mutex);
-    if (!partition.owner.is_owner()) {
+    if (!partition.owner.is_owner() || !partition.owner.has_open_jobs()) {
       return;
     }
   }
@@ -595,14 +604,20 @@
   {
     std::lock_guard lock(partition.mutex);
     std::lock_guard rooms_lock(this->rooms_mutex);
-    auto free_rooms = this->MakeRooms();
-    partition.owner.Reserve(free_rooms);
+    const TimePoint now = MonotonicNow();
+    if (this->rooms.made + kRoomsInterval < now) {
+      this->rooms.free = this->MakeRooms();
+      this->rooms.made = now;
+    }
     const auto& ledger = partition.reader.ledger();
-    items = partition.owner.Dispatch(ledger, free_rooms, MonotonicNow());
+    items = partition.owner.Dispatch(ledger, this->rooms.free, now);
     for (const auto& item : items) {
       const std::string key = RoomKey(item.daemon, item.replica);
       this->rooms.replicas[item.attempt] = key;
       ++this->rooms.counts[key];
+      if (item.is_alone) {
+        this->rooms.alone.insert(item.attempt);
+      }
       if (const Job* job = ledger.FindJob(item.item.job);
           job != nullptr && !jobs.contains(job->id)) {
         jobs[job->id] = {.id = job->id,
@@ -686,6 +701,7 @@
     this->rooms.counts.erase(found->second);
   }
   this->rooms.replicas.erase(found);
+  this->rooms.alone.erase(attempt);
 }
 
 bool BatchStore::Write(Partition& partition, records::Envelope envelope) {
@@ -703,7 +719,8 @@
   OwnerOutput output;
   {
     std::lock_guard lock(partition.mutex);
-    output = partition.owner.TakeOutput(partition.reader.ledger());
+    output =
+        partition.owner.TakeOutput(partition.reader.ledger(), MonotonicNow());
   }
   for (const auto& item : output.given_up) {
     LogEvent(Event::kItemGivenUp,
@@ -764,7 +781,17 @@
       envelopes.push_back(
           MakeEnvelope(records::TimeMark{.epoch = epoch, .unix_ms = unix_ms}));
     }
+    const std::uint64_t old = ledger.OffsetBefore(
+        unix_ms - this->settings.batch.log_retention.count() / 2);
     for (const auto& [id, job] : ledger.jobs()) {
+      // The submission broke off long ago; a resend starts anew.
+      const std::uint64_t newest =
+          job.state == JobState::kReceiving ? job.NewestBodyOffset() : 0;
+      if (newest > 0 && newest <= old) {
+        envelopes.push_back(
+            MakeEnvelope(records::JobForget{.epoch = epoch, .job = id}));
+        continue;
+      }
       const std::int64_t closed =
           job.is_closed() ? ledger.LatestTimeOf(job.closed_offset) : 0;
       if (closed != 0 &&
@@ -806,6 +833,9 @@
     }
     epoch = partition.owner.owned_epoch();
     for (const auto& [id, job] : ledger.jobs()) {
+      if (job.state == JobState::kReceiving) {
+        continue;
+      }
       for (const auto& [first, run] : job.item_runs) {
         if (run.offset > old || moves.size() >= kCarriedRuns) {
           continue;
