Try replicas that have no observed times

Cause: a replica without recent times was assumed to need 50 ms, so it was never tried while the others answered in less, and preferred while they took longer. Change: the mean over all replicas is assumed instead. Conclusion: new and returning replicas get their part of the requests.

--- a/Libraries/LibPolicy/router.cc
+++ b/Libraries/LibPolicy/router.cc
@@ -56,17 +56,17 @@
 void Router::OnFirstToken(const std::string& replica,
                           Duration time,
                           TimePoint now) {
-  this->Add(this->observations[replica].first_token, time, now);
+  this->Add(replica, &Observation::first_token, time, now);
 }
 
 void Router::OnToken(const std::string& replica, Duration time, TimePoint now) {
-  this->Add(this->observations[replica].token, time, now);
+  this->Add(replica, &Observation::token, time, now);
 }
 
 void Router::OnFinished(const std::string& replica,
                         Duration time,
                         TimePoint now) {
-  this->Add(this->observations[replica].service, time, now);
+  this->Add(replica, &Observation::service, time, now);
 }
 
 void Router::OnRefused(const RouteCandidate& candidate,
@@ -97,14 +97,14 @@
 
 Duration Router::ExpectedWait(const RouteCandidate& candidate,
                               TimePoint now) const {
-  Observation none;
   const auto found = this->observations.find(candidate.replica);
-  const Observation& observation =
-      found == this->observations.end() ? none : found->second;
-  const double first_token = this->Seconds(
-      observation.first_token, this->options.initial_first_token, now);
-  const double service =
-      this->Seconds(observation.service, this->options.initial_service, now);
+  const Observation* observation =
+      found == this->observations.end() ? nullptr : &found->second;
+  const double first_token =
+      this->Seconds(observation, &Observation::first_token,
+                    this->options.initial_first_token, now);
+  const double service = this->Seconds(observation, &Observation::service,
+                                       this->options.initial_service, now);
   const double slots = std::max(1u, candidate.slots);
   const double load = this->LoadOf(candidate, now);
   // A free slot still costs more on a busy replica, which shares its batch.
@@ -113,9 +113,17 @@
   return FromSeconds(first_token + busy + queue);
 }
 
-void Router::Add(std::optional<Mean>& mean,
+void Router::Add(const std::string& replica,
+                 std::optional<Mean> Observation::*mean,
                  Duration time,
-                 TimePoint now) const {
+                 TimePoint now) {
+  this->Update(this->observations[replica].*mean, time, now);
+  this->Update(this->typical.*mean, time, now);
+}
+
+void Router::Update(std::optional<Mean>& mean,
+                    Duration time,
+                    TimePoint now) const {
   const double seconds = ToSeconds(time);
   if (!mean || now - mean->updated > this->options.observation_memory) {
     mean = {.seconds = seconds, .updated = now};
@@ -125,12 +133,17 @@
   mean->updated = now;
 }
 
-double Router::Seconds(const std::optional<Mean>& mean,
+double Router::Seconds(const Observation* observation,
+                       std::optional<Mean> Observation::*mean,
                        Duration fallback,
                        TimePoint now) const {
-  const bool is_fresh =
-      mean && now - mean->updated <= this->options.observation_memory;
-  return is_fresh ? mean->seconds : ToSeconds(fallback);
+  for (const Observation* source : {observation, &this->typical}) {
+    if (source != nullptr && source->*mean &&
+        now - (source->*mean)->updated <= this->options.observation_memory) {
+      return (source->*mean)->seconds;
+    }
+  }
+  return ToSeconds(fallback);
 }
 
 double Router::LoadOf(const RouteCandidate& candidate, TimePoint now) const {
@@ -153,10 +166,13 @@
     cost += ToSeconds(this->options.zone_round_trip);
   }
   const auto found = this->observations.find(candidate.replica);
-  if (found != this->observations.end()) {
-    const std::uint32_t tokens = std::min(request.max_tokens, kCountedTokens);
-    cost += tokens * this->Seconds(found->second.token, Duration(0), now);
-    cost += now < found->second.avoided_until ? kRefusalCostSeconds : 0;
+  const Observation* observation =
+      found == this->observations.end() ? nullptr : &found->second;
+  const std::uint32_t tokens = std::min(request.max_tokens, kCountedTokens);
+  cost += tokens *
+          this->Seconds(observation, &Observation::token, Duration(0), now);
+  if (observation != nullptr && now < observation->avoided_until) {
+    cost += kRefusalCostSeconds;
   }
   return cost;
 }
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -44,7 +44,7 @@
   /// region, from the latencies that the platform states.
   Duration zone_round_trip = std::chrono::milliseconds(2);
   Duration region_round_trip = std::chrono::milliseconds(12);
-  /// Assumed for a replica with no recent times.
+  /// Assumed for a replica with no recent times while no other has any.
   Duration initial_first_token = std::chrono::milliseconds(50);
   Duration initial_service = std::chrono::milliseconds(500);
   /// The share of other entries' load that a report still says decays to zero
@@ -123,8 +123,13 @@
   };
   using Indices = std::vector<std::size_t>;
 
-  void Add(std::optional<Mean>& mean, Duration time, TimePoint now) const;
-  double Seconds(const std::optional<Mean>& mean,
+  void Add(const std::string& replica,
+           std::optional<Mean> Observation::*mean,
+           Duration time,
+           TimePoint now);
+  void Update(std::optional<Mean>& mean, Duration time, TimePoint now) const;
+  double Seconds(const Observation* observation,
+                 std::optional<Mean> Observation::*mean,
                  Duration fallback,
                  TimePoint now) const;
   double LoadOf(const RouteCandidate& candidate, TimePoint now) const;
@@ -159,6 +164,9 @@
   const RouterOptions options;
   Random random;
   std::map<std::string, Observation> observations;
+  /// Over all replicas; assumed for one with no recent times. A fixed value
+  /// below or above the real times would flood or starve such a replica.
+  Observation typical;
   std::map<std::string, Spill> spills;
   std::map<std::uint64_t, std::string> hints;
 };
--- a/Tests/LibPolicy/router_test.cc
+++ b/Tests/LibPolicy/router_test.cc
@@ -118,6 +118,21 @@
   }
 }
 
+// Guards against a new replica that is never tried because the observed ones
+// are faster than what is assumed for it.
+TEST(Router_SlowReplica, ReplicaWithoutTimesIsTried) {
+  Router router(Options(), 1);
+  const std::vector<RouteCandidate> candidates = {
+      MakeCandidate("known", "here", 0), MakeCandidate("new", "here", 0)};
+  std::size_t tried = 0;
+  for (int i = 0; i < 50; ++i) {
+    router.OnFirstToken("known", std::chrono::milliseconds(5), kStart);
+    tried += *router.Choose(candidates, {.prompt = "x", .max_tokens = 4}, {},
+                            kStart);
+  }
+  CHECK(tried > 10);
+}
+
 // Guards against sending on to a replica that has just refused.
 TEST(Router_SlowReplica, RefusingReplicaIsAvoided) {
   Router router(Options(), 1);
