Let the HTTP server end without cutting off replies

Cause: stopping the library closes connections whose replies are being sent. Change: three steps come before Stop: close each connection after its next reply, stop accepting, and wait until no reply is in progress and the connections are closed or quiet. A connection counts as busy from the call of its handler until the library reports the request as completed. Conclusion: the owner of a server can drain it.

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -7,10 +7,13 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <cctype>
 #include <cstring>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -25,6 +28,12 @@
 /// Largest part of a streamed body that is handed to the library at once.
 constexpr std::size_t kStreamBlockBytes = 16 << 10;
 
+/// How long connections without a request may delay a shutdown: a request may
+/// be on its way when the last reply is sent.
+constexpr std::chrono::milliseconds kQuietTime{500};
+
+constexpr std::chrono::milliseconds kIdlePollInterval{10};
+
 /// Sockets of open connections by the caller's address and port.
 class SocketTable {
  public:
@@ -33,9 +42,30 @@
     this->sockets[peer] = socket;
   }
 
+  /// Marks a connection whose request is being answered.
+  void SetBusy(const std::string& peer, bool is_busy) {
+    std::lock_guard lock(this->mutex);
+    if (is_busy) {
+      this->busy.insert(peer);
+    } else {
+      this->busy.erase(peer);
+    }
+  }
+
+  std::size_t busy_count() {
+    std::lock_guard lock(this->mutex);
+    return this->busy.size();
+  }
+
+  std::size_t size() {
+    std::lock_guard lock(this->mutex);
+    return this->sockets.size();
+  }
+
   void Remove(const std::string& peer) {
     std::lock_guard lock(this->mutex);
     this->sockets.erase(peer);
+    this->busy.erase(peer);
   }
 
   /// True if the caller's end is closed or the connection is gone.
@@ -53,6 +83,7 @@
  private:
   std::mutex mutex;
   std::unordered_map<std::string, int> sockets;
+  std::unordered_set<std::string> busy;
 };
 
 std::string DescribeAddress(const sockaddr* address) {
@@ -118,6 +149,7 @@
   HttpHandler handler;
   HttpServerOptions options;
   std::shared_ptr<SocketTable> sockets;
+  std::shared_ptr<const std::atomic<bool>> closes_connections;
 };
 
 HttpResponse CallHandler(const Route& route, const _u_request* request) {
@@ -150,10 +182,14 @@
 
 int OnRequest(const _u_request* request, _u_response* response, void* user) {
   const auto* route = static_cast<const Route*>(user);
+  route->sockets->SetBusy(DescribeAddress(request->client_address), true);
   HttpResponse answer = CallHandler(*route, request);
   for (const auto& [name, value] : answer.headers) {
     u_map_put(response->map_header, name.c_str(), value.c_str());
   }
+  if (*route->closes_connections) {
+    u_map_put(response->map_header, "Connection", "close");
+  }
   if (!answer.stream) {
     ulfius_set_binary_body_response(response, answer.status, answer.body.data(),
                                     answer.body.size());
@@ -189,6 +225,19 @@
   }
 }
 
+void OnCompleted(void* user,
+                 MHD_Connection* connection,
+                 void** context,
+                 MHD_RequestTerminationCode code) {
+  const auto* address =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (address != nullptr) {
+    static_cast<SocketTable*>(user)->SetBusy(
+        DescribeAddress(address->client_addr), false);
+  }
+  mhd_request_completed(nullptr, connection, context, code);
+}
+
 Result<int> OpenListeningSocket(const HttpServerOptions& options) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -220,6 +269,8 @@
 struct HttpServer::State {
   HttpServerOptions options;
   std::shared_ptr<SocketTable> sockets = std::make_shared<SocketTable>();
+  std::shared_ptr<std::atomic<bool>> closes_connections =
+      std::make_shared<std::atomic<bool>>(false);
   std::vector<std::unique_ptr<Route>> routes;
   sockaddr_in bind_address{};
   _u_instance instance{};
@@ -252,10 +303,11 @@
 void HttpServer::AddRoute(const std::string& method,
                           const std::string& pattern,
                           HttpHandler handler) {
-  this->state->routes.push_back(
-      std::make_unique<Route>(Route{.handler = std::move(handler),
-                                    .options = this->state->options,
-                                    .sockets = this->state->sockets}));
+  this->state->routes.push_back(std::make_unique<Route>(
+      Route{.handler = std::move(handler),
+            .options = this->state->options,
+            .sockets = this->state->sockets,
+            .closes_connections = this->state->closes_connections}));
   ulfius_add_endpoint_by_val(&this->state->instance, method.c_str(), nullptr,
                              pattern.c_str(), 0, OnRequest,
                              this->state->routes.back().get());
@@ -269,8 +321,8 @@
   this->state->port = ntohs(bound.sin_port);
   const auto& options = this->state->options;
   MHD_OptionItem items[] = {
-      {MHD_OPTION_NOTIFY_COMPLETED,
-       reinterpret_cast<intptr_t>(mhd_request_completed), nullptr},
+      {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(OnCompleted),
+       this->state->sockets.get()},
       {MHD_OPTION_URI_LOG_CALLBACK,
        reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
       {MHD_OPTION_LISTEN_SOCKET, descriptor, nullptr},
@@ -292,6 +344,39 @@
   return {};
 }
 
+void HttpServer::CloseConnectionsAfterReplies() {
+  *this->state->closes_connections = true;
+}
+
+void HttpServer::StopAccepting() {
+  if (!this->state->is_running) {
+    return;
+  }
+  const int descriptor = MHD_quiesce_daemon(this->state->instance.mhd_daemon);
+  if (descriptor >= 0) {
+    close(descriptor);
+  }
+}
+
+bool HttpServer::WaitUntilIdle(std::chrono::microseconds limit) {
+  using std::chrono::steady_clock;
+  const auto end = steady_clock::now() + limit;
+  auto quiet_since = steady_clock::now();
+  while (true) {
+    const auto now = steady_clock::now();
+    if (this->state->sockets->busy_count() > 0) {
+      quiet_since = now;
+    } else if (this->state->sockets->size() == 0 ||
+               now - quiet_since >= kQuietTime) {
+      return true;
+    }
+    if (now >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kIdlePollInterval);
+  }
+}
+
 void HttpServer::Stop() {
   if (!std::exchange(this->state->is_running, false)) {
     return;
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -1,6 +1,7 @@
 #ifndef LIBHTTP_HTTP_SERVER_H_
 #define LIBHTTP_HTTP_SERVER_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -43,7 +44,18 @@
   /// Fails with kUnavailable if the port cannot be opened.
   Result<void> Start();
 
-  /// Closes the listening socket and waits for running handlers.
+  /// Closes each connection after the reply to its current or next request.
+  void CloseConnectionsAfterReplies();
+
+  /// Closes the listening socket; open connections are still served.
+  void StopAccepting();
+
+  /// Waits until no reply is being made or sent, and until all connections
+  /// are closed or have been quiet for a moment. False after `limit`.
+  bool WaitUntilIdle(std::chrono::microseconds limit);
+
+  /// Closes the listening socket and waits for running handlers. Replies that
+  /// are being sent are cut off.
   void Stop();
 
   std::uint16_t port() const;
