--- a/Services/Entry/entry.h
+++ b/Services/Entry/entry.h
@@ -24,7 +24,8 @@
 
   Result<void> Start();
 
-  /// Turns readiness off, waits for callers, stops.
+  /// Turns readiness off, gives the load balancer time to notice, lets running
+  /// requests finish, writes held results, then stops.
   void Stop();
 
   std::uint16_t http_port() const { return this->server.port(); }
--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -46,13 +46,19 @@
                             const DaemonState& state,
                             const messages::ReplicaLoad& load) const {
   const auto outstanding = state.outstanding.find(load.replica);
-  return {.daemon = daemon,
-          .daemon_name = state.hello.name,
-          .availability_zone = state.hello.availability_zone,
-          .region = state.hello.region,
-          .load = load,
-          .outstanding =
-              outstanding == state.outstanding.end() ? 0 : outstanding->second};
+  const auto at_report = state.outstanding_at_report.find(load.replica);
+  return {
+      .daemon = daemon,
+      .daemon_name = state.hello.name,
+      .availability_zone = state.hello.availability_zone,
+      .region = state.hello.region,
+      .load = load,
+      .outstanding =
+          outstanding == state.outstanding.end() ? 0 : outstanding->second,
+      .outstanding_at_report = at_report == state.outstanding_at_report.end()
+                                   ? 0
+                                   : at_report->second,
+      .reported = state.reported};
 }
 
 std::vector<ReplicaView> Fleet::AllReplicas() const {
@@ -67,12 +73,17 @@
 }
 
 std::vector<ReplicaView> Fleet::ReplicasFor(const std::string& model) const {
-  auto views = this->AllReplicas();
-  std::erase_if(views, [&model](const ReplicaView& view) {
-    const auto& models = view.load.models;
-    return view.load.leaving ||
-           std::find(models.begin(), models.end(), model) == models.end();
-  });
+  std::lock_guard lock(this->mutex);
+  std::vector<ReplicaView> views;
+  for (const auto& [daemon, state] : this->daemons) {
+    for (const auto& [name, load] : state.replicas) {
+      const auto& models = load.models;
+      if (!load.leaving &&
+          std::find(models.begin(), models.end(), model) != models.end()) {
+        views.push_back(this->MakeView(daemon, state, load));
+      }
+    }
+  }
   return views;
 }
 
@@ -151,13 +162,7 @@
       return;
     case MessageType::kLoadReport:
       if (const auto report = Decode<messages::LoadReport>(frame.body)) {
-        {
-          std::lock_guard lock(this->mutex);
-          auto& state = this->daemons[daemon];
-          for (const auto& load : report->replicas) {
-            state.replicas[load.replica] = load;
-          }
-        }
+        this->OnLoadReport(daemon, *report);
         this->handlers.on_load();
       }
       return;
@@ -191,18 +196,12 @@
       return;
     case MessageType::kRevokeReply:
       if (const auto reply = Decode<messages::RevokeReply>(frame.body)) {
-        std::function<void(Verdict)> on_reply;
-        {
-          std::lock_guard lock(this->mutex);
-          if (const auto found = this->revokes.find(frame.correlation);
-              found != this->revokes.end()) {
-            on_reply = std::move(found->second.on_reply);
-            this->revokes.erase(found);
-          }
-        }
-        if (on_reply) {
-          on_reply(reply->verdict);
-        }
+        this->OnRevokeReply(frame.correlation, *reply);
+      }
+      return;
+    case MessageType::kLeavingNotice:
+      if (const auto notice = Decode<messages::LeavingNotice>(frame.body)) {
+        this->OnLeaving(daemon, *notice);
       }
       return;
     default:
@@ -210,6 +209,51 @@
   }
 }
 
+void Fleet::OnLoadReport(const std::string& daemon,
+                         const messages::LoadReport& report) {
+  std::lock_guard lock(this->mutex);
+  auto& state = this->daemons[daemon];
+  for (const auto& load : report.replicas) {
+    state.replicas[load.replica] = load;
+  }
+  state.outstanding_at_report = state.outstanding;
+  state.reported = MonotonicNow();
+}
+
+void Fleet::OnLeaving(const std::string& daemon,
+                      const messages::LeavingNotice& notice) {
+  std::lock_guard lock(this->mutex);
+  auto& state = this->daemons[daemon];
+  for (const auto& replica : notice.replicas) {
+    if (const auto found = state.replicas.find(replica);
+        found != state.replicas.end()) {
+      found->second.leaving = true;
+    }
+  }
+}
+
+void Fleet::OnRevokeReply(std::uint64_t correlation,
+                          const messages::RevokeReply& reply) {
+  std::function<void(Verdict)> on_reply;
+  {
+    std::lock_guard lock(this->mutex);
+    if (const auto found = this->revokes.find(correlation);
+        found != this->revokes.end()) {
+      on_reply = std::move(found->second.on_reply);
+      this->revokes.erase(found);
+    }
+  }
+  if (on_reply) {
+    on_reply(reply.verdict);
+  }
+  if (reply.verdict == Verdict::kNotRun) {
+    // The daemon sends no end of an attempt that will never start.
+    this->OnDone({.attempt = reply.attempt,
+                  .verdict = Verdict::kNotRun,
+                  .reason = "revoked"});
+  }
+}
+
 void Fleet::OnDone(const messages::AttemptDone& done) {
   AttemptCallbacks callbacks;
   {
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "LibCore/result.h"
+#include "LibCore/time.h"
 #include "LibMessages/messages.h"
 #include "LibNetwork/frame_client.h"
 
@@ -27,6 +28,9 @@
   messages::ReplicaLoad load;
   /// Attempts that this entry has sent and that have not ended.
   std::uint32_t outstanding = 0;
+  /// `outstanding` when the load figures came, and when that was.
+  std::uint32_t outstanding_at_report = 0;
+  TimePoint reported{};
 
   bool operator==(const ReplicaView&) const = default;
 };
@@ -100,12 +104,20 @@
     messages::Hello hello;
     std::map<std::string, messages::ReplicaLoad> replicas;
     std::map<std::string, std::uint32_t> outstanding;
+    std::map<std::string, std::uint32_t> outstanding_at_report;
+    TimePoint reported{};
   };
 
   void OnOpen(const std::string& daemon,
               const std::shared_ptr<Connection>& connection);
   void OnFrame(const std::string& daemon, const Frame& frame);
   void OnLost(const std::string& daemon);
+  void OnLoadReport(const std::string& daemon,
+                    const messages::LoadReport& report);
+  void OnLeaving(const std::string& daemon,
+                 const messages::LeavingNotice& notice);
+  void OnRevokeReply(std::uint64_t correlation,
+                     const messages::RevokeReply& reply);
   void OnDone(const messages::AttemptDone& done);
   ReplicaView MakeView(const std::string& daemon,
                        const DaemonState& state,
--- a/Services/Entry/online_requests.h
+++ b/Services/Entry/online_requests.h
@@ -1,60 +1,109 @@
 #ifndef ENTRY_ONLINE_REQUESTS_H_
 #define ENTRY_ONLINE_REQUESTS_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
-#include "Entry/attempt_stream.h"
+#include <boost/asio/io_context.hpp>
+
 #include "Entry/fleet.h"
+#include "Entry/request_log.h"
+#include "Entry/request_run.h"
+#include "Entry/route_planner.h"
 #include "LibHttp/http_message.h"
-#include "LibMessages/records.h"
+#include "LibMetrics/request_metrics.h"
+#include "LibPolicy/admission.h"
 #include "LibSettings/settings.h"
 
 namespace crocus {
 
-/// An online request as the caller sent it.
-struct OnlineRequest {
-  std::string id;
-  std::string workspace;
-  std::string request_class;
-  std::string model;
-  std::string prompt;
-  std::uint32_t max_tokens = 0;
-  bool is_stream = false;
-  bool is_repeatable = true;
-  std::string idempotency_key;
-  std::chrono::milliseconds patience{0};
-
-  bool operator==(const OnlineRequest&) const = default;
-};
-
-/// Parses the body and headers of POST /v1/requests. Errors name the field.
-Result<OnlineRequest> ParseOnlineRequest(const HttpRequest& request,
-                                         std::chrono::milliseconds patience);
-
-/// Serves online requests from callers.
+/// Serves online requests from callers. A request is admitted, gets an intent
+/// in the log if it must run once, and is then run by RequestRun; its result is
+/// written to the log. A resent keyed request attaches to the one that runs
+/// here, or waits for the result of the one that runs elsewhere.
 class OnlineRequests {
  public:
-  OnlineRequests(const EntrySettings& settings, Fleet& fleet);
+  OnlineRequests(const EntrySettings& settings,
+                 std::uint64_t incarnation,
+                 boost::asio::io_context& context,
+                 Fleet& fleet);
+
+  void Start();
+  /// Waits until no request runs, at most `limit`. False if some still run.
+  bool WaitUntilIdle(Duration limit);
+  /// Writes results that are held for at most `limit`, then stops.
+  void Stop(Duration limit);
+
+  void SetRules(std::shared_ptr<const RuleSet> rules);
 
+  /// POST /v1/requests
   HttpResponse Handle(const HttpRequest& request);
+  /// GET /v1/results/:id
   HttpResponse Result(const HttpRequest& request);
+  /// GET /metrics
+  HttpResponse Metrics() const;
+
+  /// A daemon offers results that nobody has confirmed.
+  void OnOffer(const std::string& daemon, const messages::OfferResults& offer);
 
  private:
-  HttpResponse Stream(const OnlineRequest& request,
-                      const std::string& daemon,
-                      const std::string& attempt,
-                      const std::shared_ptr<AttemptStream>& stream,
+  class Reader;
+
+  struct Accepted {
+    std::shared_ptr<Reader> reader;
+    bool is_new = false;
+  };
+
+  Accepted FindOrCreate(OnlineRequest request, TimePoint now);
+  /// Everything before the dispatch. Returns the outcome if there is one
+  /// already; otherwise the run may start.
+  std::optional<RunOutcome> Prepare(const RequestRun& run,
+                                    const HttpRequest& http_request);
+  std::optional<RunOutcome> FindEarlier(const RequestRun& run,
+                                        const HttpRequest& http_request);
+  std::optional<RunOutcome> WaitForOwner(const RequestRun& run,
+                                         const HttpRequest& http_request,
+                                         TimePoint limit);
+  std::optional<RunOutcome> Admit(const OnlineRequest& request);
+  std::optional<RunOutcome> WriteIntent(const RequestRun& run,
+                                        const HttpRequest& http_request);
+  RunOutcome ReadOutcome(const OnlineRequest& request,
+                         const LoggedRequest& logged);
+  void FreeIntent(const RequestRun& run);
+
+  HttpResponse Answer(const std::shared_ptr<Reader>& reader,
+                      const OnlineRequest& request,
+                      const HttpRequest& http_request,
                       TimePoint deadline);
-  void Keep(const OnlineRequest& request, const std::string& text);
+  HttpResponse Stream(const std::shared_ptr<Reader>& reader,
+                      const OnlineRequest& request,
+                      const HttpRequest& http_request,
+                      TimePoint deadline,
+                      std::string first_text,
+                      std::size_t position);
+
+  void OnFinished(const std::shared_ptr<RequestRun>& run);
+  void WriteOutcome(const RequestRun& run, const RunOutcome& outcome);
+  void Measure(const RequestRun& run, const RunOutcome& outcome);
 
   const EntrySettings settings;
+  const std::uint64_t incarnation;
   Fleet& fleet;
-  std::mutex mutex;
-  std::map<std::string, std::string> results;
+  RoutePlanner planner;
+  RequestLog log;
+  RequestMetrics metrics;
+  RunServices services;
+
+  /// Guards what follows. Taken before the lock of a run.
+  mutable std::mutex mutex;
+  Admission admission;
+  std::set<const RequestRun*> admitted;
+  std::map<std::string, std::shared_ptr<RequestRun>> running;
 };
 
 }  // namespace crocus
--- /dev/null
+++ b/Services/Entry/request_log.cc
@@ -0,0 +1,242 @@
+#include "Entry/request_log.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibEvents/event_log.h"
+#include "LibLedger/append.h"
+
+namespace crocus {
+
+namespace {
+
+const std::string kStream = "requests";
+
+constexpr std::uint32_t kRecordsPerRead = 256;
+
+/// Pause between reads; shorter while a caller waits for the replay.
+constexpr std::chrono::milliseconds kReadPause{200};
+constexpr std::chrono::milliseconds kShortReadPause{10};
+
+/// Pause after a read that failed.
+constexpr std::chrono::milliseconds kFailedReadPause{250};
+
+}  // namespace
+
+RequestLog::RequestLog(const EntrySettings& settings)
+    : settings(settings.online),
+      ledger_options{.kept_appends = settings.online.kept_appends,
+                     .plain_results = settings.online.indexed_results},
+      log(settings.platform.log_url),
+      writer(this->log,
+             kStream,
+             {.writer = settings.host.name,
+              .delay = settings.online.commit_delay,
+              .append_bytes = settings.online.commit_bytes,
+              .queue_bytes = settings.online.held_result_bytes}),
+      ledger(this->ledger_options) {}
+
+RequestLog::~RequestLog() {
+  this->Stop(Duration(0));
+}
+
+void RequestLog::Start() {
+  this->thread = std::thread([this] { this->Follow(); });
+}
+
+void RequestLog::Stop(Duration limit) {
+  this->writer.Stop(limit);
+  {
+    std::lock_guard lock(this->mutex);
+    this->is_stopping = true;
+  }
+  this->wake.notify_all();
+  this->moved.notify_all();
+  if (this->thread.joinable()) {
+    this->thread.join();
+  }
+}
+
+Result<LoggedRequest> RequestLog::WriteIntent(
+    const records::RequestIntent& intent,
+    Duration limit) {
+  const TimePoint end = MonotonicNow() + limit;
+  TRY_ASSIGN(const std::uint64_t offset,
+             this->writer.Append({MakeEnvelope(intent)}, limit));
+  std::unique_lock lock(this->mutex);
+  ++this->waiting;
+  this->wake.notify_all();
+  const bool is_replayed = this->moved.wait_until(lock, end, [this, offset] {
+    return this->is_stopping || this->ledger.next_offset() > offset;
+  });
+  --this->waiting;
+  const auto found = this->ledger.Find(intent.request);
+  if (!is_replayed || this->is_stopping || !found) {
+    return Failure(ErrorCode::kUnavailable,
+                   "log: the intent could not be read back",
+                   Verdict::kMayHaveRun);
+  }
+  return *found;
+}
+
+bool RequestLog::WriteResult(const records::RequestResult& result,
+                             std::function<void()> on_written) {
+  const bool is_kept = result.verdict != Verdict::kNotRun;
+  if (is_kept) {
+    std::lock_guard lock(this->mutex);
+    this->held[result.request] = result;
+  }
+  const auto queued = this->writer.Enqueue(
+      MakeEnvelope(result),
+      [on_written = std::move(on_written)](const auto& offset) {
+        if (offset && on_written) {
+          on_written();
+        }
+      });
+  if (!queued) {
+    LogEvent(Event::kResultDropped, {{"request", result.request}});
+    std::lock_guard lock(this->mutex);
+    this->held.erase(result.request);
+  }
+  return queued.has_value();
+}
+
+std::optional<LoggedRequest> RequestLog::Find(
+    const std::string& request) const {
+  std::lock_guard lock(this->mutex);
+  return this->ledger.Find(request);
+}
+
+std::optional<records::RequestResult> RequestLog::FindHeld(
+    const std::string& request) const {
+  std::lock_guard lock(this->mutex);
+  const auto found = this->held.find(request);
+  return found == this->held.end() ? std::nullopt
+                                   : std::optional(found->second);
+}
+
+Result<records::RequestResult> RequestLog::ReadResult(
+    const std::string& request,
+    const LoggedRequest& logged) {
+  TRY_ASSIGN(const LogPage page, this->log.Read(kStream, logged.offset, 1));
+  if (page.records.empty() || page.records.front().offset != logged.offset) {
+    return Failure(ErrorCode::kNotFound,
+                   "the log no longer keeps the result of " + request);
+  }
+  auto result = ResultIn(page.records.front().data, request);
+  if (!result) {
+    return Failure(ErrorCode::kCorrupt, "the log has no result of " + request +
+                                            " at offset " +
+                                            std::to_string(logged.offset));
+  }
+  return std::move(*result);
+}
+
+void RequestLog::WaitForReplay(TimePoint limit) {
+  std::unique_lock lock(this->mutex);
+  ++this->waiting;
+  this->wake.notify_all();
+  const std::uint64_t before = this->ledger.next_offset();
+  this->moved.wait_until(lock, limit, [this, before] {
+    return this->is_stopping || this->ledger.next_offset() != before;
+  });
+  --this->waiting;
+}
+
+bool RequestLog::CatchUp(TimePoint limit) {
+  std::unique_lock lock(this->mutex);
+  // A read that is in progress may have passed the end already.
+  const std::uint64_t wanted = this->started_reads + 1;
+  ++this->waiting;
+  this->wake.notify_all();
+  const bool is_done = this->moved.wait_until(lock, limit, [this, wanted] {
+    return this->is_stopping || this->completed_reads >= wanted;
+  });
+  --this->waiting;
+  return is_done && !this->is_stopping;
+}
+
+bool RequestLog::is_current() const {
+  std::lock_guard lock(this->mutex);
+  // The writer's own state is no use here: it only changes when it sends.
+  return this->has_replayed && this->is_reading_well;
+}
+
+bool RequestLog::has_room() const {
+  return this->writer.queued_bytes() < this->settings.held_result_bytes / 2;
+}
+
+void RequestLog::Follow() {
+  bool has_failed = false;
+  bool is_first = true;
+  while (true) {
+    {
+      std::unique_lock lock(this->mutex);
+      // Several reads follow each other while there is more to replay.
+      const bool is_at_end = this->completed_reads == this->started_reads;
+      if (!std::exchange(is_first, false) && (is_at_end || has_failed)) {
+        auto pause = this->waiting > 0 ? kShortReadPause : kReadPause;
+        pause = has_failed ? kFailedReadPause : pause;
+        this->wake.wait_for(lock, pause);
+      }
+      if (this->is_stopping) {
+        return;
+      }
+      if (is_at_end) {
+        ++this->started_reads;
+      }
+    }
+    const bool is_good = this->FollowOnce();
+    has_failed = !is_good;
+    std::lock_guard lock(this->mutex);
+    this->is_reading_well = is_good;
+  }
+}
+
+bool RequestLog::FollowOnce() {
+  if (this->position == 0 && !this->FindStart()) {
+    return false;
+  }
+  const auto page = this->log.Read(kStream, this->position, kRecordsPerRead);
+  if (!page) {
+    if (this->is_current()) {
+      LogEvent(Event::kLogUnavailable,
+               {{"stream", kStream}, {"reason", page.error().message}});
+    }
+    return false;
+  }
+  {
+    std::lock_guard lock(this->mutex);
+    for (const auto& record : page->records) {
+      this->ledger.Apply(record.offset, record.data);
+      this->position = record.offset + 1;
+    }
+    this->position = std::max(this->position, page->first);
+    if (this->position >= page->next) {
+      this->completed_reads = this->started_reads;
+      this->has_replayed = true;
+    }
+    this->ReleaseHeld();
+  }
+  this->moved.notify_all();
+  return true;
+}
+
+bool RequestLog::FindStart() {
+  const auto page = this->log.Read(kStream, 1, 1);
+  if (!page) {
+    return false;
+  }
+  this->position =
+      RequestLedger::StartOffset(this->ledger_options, page->first, page->next);
+  return true;
+}
+
+void RequestLog::ReleaseHeld() {
+  std::erase_if(this->held, [this](const auto& item) {
+    const auto found = this->ledger.Find(item.first);
+    return found && found->state == RequestState::kFinished;
+  });
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Entry/request_run.cc
@@ -0,0 +1,550 @@
+#include "Entry/request_run.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+
+#include "LibCore/random.h"
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+/// Pause before a request that no replica can take now is tried again.
+constexpr std::chrono::milliseconds kRetryPause{100};
+
+/// The time between tokens is measured over this many.
+constexpr std::uint32_t kMeasuredTokens = 16;
+/// The same at the end of an answer.
+constexpr std::uint32_t kFewestMeasuredTokens = 4;
+
+constexpr std::chrono::milliseconds kNoEndpointRetryAfter{1000};
+
+/// Refusals of a replica that leaves or is gone: trying another one costs the
+/// fleet nothing, so it is not charged to the retry budget.
+bool IsFreeRetry(const messages::AttemptDone& done) {
+  return done.verdict == Verdict::kNotRun &&
+         (done.reason == "endpoint_leaving" ||
+          done.reason == "unknown_replica" ||
+          done.reason == "endpoint_unreachable");
+}
+
+/// An attempt that was cut short counts as started, not as executed.
+Verdict EffectiveVerdict(const messages::AttemptDone& done) {
+  return done.verdict == Verdict::kRan && done.reason == "cancelled"
+             ? Verdict::kMayHaveRun
+             : done.verdict;
+}
+
+int StatusOf(const std::string& reason, Verdict verdict) {
+  if (reason == "patience_expired") {
+    return 504;
+  }
+  if (reason == "rejected_by_endpoint") {
+    return 422;
+  }
+  return verdict == Verdict::kNotRun ? 503 : 502;
+}
+
+}  // namespace
+
+RequestRun::RequestRun(RunServices& services,
+                       OnlineRequest request,
+                       TimePoint received,
+                       TimePoint deadline)
+    : services(services),
+      accepted(std::move(request)),
+      stem(MakeIdentifier("a")),
+      received_at(received),
+      expires_at(deadline),
+      timer(services.context) {}
+
+void RequestRun::Start() {
+  this->Handle([this](Actions& actions) {
+    this->has_started = true;
+    const TimePoint now = MonotonicNow();
+    if (auto refusal = this->Dispatch(now, actions)) {
+      this->FinishNow({.refusal = std::move(refusal)}, actions);
+      return;
+    }
+    if (const auto delay = this->services.planner.HedgeDelay(
+            this->accepted.model, this->accepted.is_repeatable)) {
+      this->hedge_at = now + *delay;
+    }
+    actions.arms_timer = true;
+  });
+}
+
+void RequestRun::Finish(RunOutcome outcome) {
+  this->Handle([this, &outcome](Actions& actions) {
+    this->FinishNow(std::move(outcome), actions);
+  });
+}
+
+void RequestRun::AddReader() {
+  std::lock_guard lock(this->mutex);
+  ++this->readers;
+}
+
+void RequestRun::RemoveReader() {
+  this->Handle([this](Actions& actions) {
+    --this->readers;
+    if (this->readers > 0 || this->result || this->accepted.needs_intent()) {
+      return;
+    }
+    this->RevokeLive(actions);
+    this->FinishNow(
+        {.refusal = Refusal{.status = 499,
+                            .code = "caller_left",
+                            .message = "the caller closed the connection",
+                            .verdict = this->OverallVerdict()}},
+        actions);
+  });
+}
+
+bool RequestRun::WaitForOutcome(TimePoint limit) {
+  std::unique_lock lock(this->mutex);
+  return this->wake.wait_until(lock, limit,
+                               [this] { return this->result.has_value(); });
+}
+
+std::optional<std::string> RequestRun::ReadText(std::size_t& position,
+                                                TimePoint limit) {
+  std::unique_lock lock(this->mutex);
+  this->wake.wait_until(lock, limit, [this, &position] {
+    return this->result || position < this->AnswerText().size();
+  });
+  const std::string& text = this->AnswerText();
+  if (position >= text.size()) {
+    return std::nullopt;
+  }
+  std::string part = text.substr(position);
+  position = text.size();
+  this->has_passed_text = true;
+  return part;
+}
+
+std::optional<RunOutcome> RequestRun::outcome() const {
+  std::lock_guard lock(this->mutex);
+  return this->result;
+}
+
+std::vector<std::pair<std::string, std::string>> RequestRun::HeldAttempts()
+    const {
+  std::lock_guard lock(this->mutex);
+  std::vector<std::pair<std::string, std::string>> held;
+  for (const auto& attempt : this->attempts) {
+    held.emplace_back(attempt.plan.candidate.daemon, attempt.id);
+  }
+  return held;
+}
+
+bool RequestRun::is_started() const {
+  std::lock_guard lock(this->mutex);
+  return this->has_started;
+}
+
+std::optional<TimePoint> RequestRun::first_dispatch() const {
+  std::lock_guard lock(this->mutex);
+  return this->attempts.empty() ? std::nullopt
+                                : std::optional(this->attempts.front().started);
+}
+
+std::optional<TimePoint> RequestRun::first_token() const {
+  std::lock_guard lock(this->mutex);
+  return this->winner ? this->attempts[*this->winner].first_token
+                      : std::nullopt;
+}
+
+template <typename Event>
+void RequestRun::Handle(Event event) {
+  Actions actions;
+  {
+    std::lock_guard lock(this->mutex);
+    event(actions);
+  }
+  this->wake.notify_all();
+  this->Perform(actions);
+}
+
+void RequestRun::Perform(const Actions& actions) {
+  for (const auto& [daemon, id] : actions.revokes) {
+    this->services.fleet.Revoke(
+        daemon, id,
+        [self = this->shared_from_this(), id = id](Verdict verdict) {
+          self->OnRevokeReply(id, verdict);
+        });
+  }
+  if (actions.arms_timer) {
+    this->ArmTimer();
+  }
+  if (actions.is_finished) {
+    boost::asio::post(
+        this->services.context,
+        [self = this->shared_from_this()] { self->timer.cancel(); });
+    this->services.on_finished(this->shared_from_this());
+  }
+}
+
+void RequestRun::OnChunk(std::size_t index, const messages::TokenChunk& chunk) {
+  this->Handle([this, index, &chunk](Actions& actions) {
+    const TimePoint now = MonotonicNow();
+    Attempt& attempt = this->attempts[index];
+    if (!attempt.stream.AddChunk(chunk)) {
+      return;
+    }
+    if (!attempt.first_token) {
+      attempt.first_token = now;
+      attempt.mark = now;
+      attempt.mark_tokens = attempt.stream.token_count();
+      this->services.planner.OnFirstToken(this->accepted.model, attempt.plan,
+                                          now - attempt.started, now);
+    }
+    this->MeasureTokens(attempt, kMeasuredTokens, now);
+    if (!this->winner && !this->result && !attempt.is_revoked) {
+      this->SelectWinner(index, actions);
+    }
+  });
+}
+
+void RequestRun::OnDone(std::size_t index, const messages::AttemptDone& done) {
+  this->Handle([this, index, &done](Actions& actions) {
+    const TimePoint now = MonotonicNow();
+    Attempt& attempt = this->attempts[index];
+    attempt.stream.SetDone(done);
+    attempt.verdict = EffectiveVerdict(done);
+    if (done.complete) {
+      this->MeasureTokens(attempt, kFewestMeasuredTokens, now);
+    }
+    this->Account(attempt, done, now);
+    if (this->result || (this->winner && *this->winner != index)) {
+      return;
+    }
+    if (attempt.stream.IsWhole()) {
+      this->winner = index;
+      this->RevokeLive(actions);
+      this->FinishNow({.text = attempt.stream.text(),
+                       .token_count = attempt.stream.token_count()},
+                      actions);
+    } else if (this->give_up_at) {
+      this->Expire(now, actions);
+    } else if (this->HasLiveAttempt()) {
+      // The other attempt may still give the answer.
+      return;
+    } else if (this->MayRetry(done, now)) {
+      LogEvent(Event::kRequestRetried, {{"request", this->accepted.id},
+                                        {"attempt", attempt.id},
+                                        {"reason", done.reason}});
+      this->Retry(now, actions);
+    } else {
+      this->FinishNow({.refusal = this->MakeRefusal(done)}, actions);
+    }
+  });
+}
+
+void RequestRun::OnRevokeReply(const std::string& id, Verdict verdict) {
+  this->Handle([this, &id, verdict](Actions& actions) {
+    for (auto& attempt : this->attempts) {
+      if (attempt.id == id && !attempt.verdict && verdict == Verdict::kNotRun) {
+        attempt.verdict = verdict;
+      }
+    }
+    if (this->give_up_at && !this->result) {
+      this->Expire(MonotonicNow(), actions);
+    }
+  });
+}
+
+void RequestRun::OnTimer() {
+  this->Handle([this](Actions& actions) {
+    const TimePoint now = MonotonicNow();
+    if (this->result) {
+      return;
+    }
+    if (now >= this->expires_at) {
+      this->Expire(now, actions);
+      return;
+    }
+    if (this->retry_at && now >= *this->retry_at) {
+      this->retry_at = std::nullopt;
+      // Replicas that failed before may have come back.
+      this->excluded.clear();
+      this->Retry(now, actions);
+    }
+    if (this->hedge_at && now >= *this->hedge_at) {
+      this->hedge_at = std::nullopt;
+      this->SendHedge(now, actions);
+    }
+    actions.arms_timer = true;
+  });
+}
+
+void RequestRun::ArmTimer() {
+  boost::asio::post(this->services.context, [weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (self == nullptr) {
+      return;
+    }
+    std::optional<TimePoint> time;
+    {
+      // Read here and not by the caller: two threads may ask in any order.
+      std::lock_guard lock(self->mutex);
+      time = self->NextWake();
+    }
+    if (!time) {
+      return;
+    }
+    self->timer.expires_at(*time);
+    self->timer.async_wait([weak](boost::system::error_code error) {
+      const auto waiting = weak.lock();
+      if (!error && waiting != nullptr) {
+        waiting->OnTimer();
+      }
+    });
+  });
+}
+
+std::optional<TimePoint> RequestRun::NextWake() const {
+  if (this->result) {
+    return std::nullopt;
+  }
+  if (this->give_up_at) {
+    return this->give_up_at;
+  }
+  TimePoint next = this->expires_at;
+  for (const auto& time : {this->hedge_at, this->retry_at}) {
+    next = time ? std::min(next, *time) : next;
+  }
+  return next;
+}
+
+std::optional<Refusal> RequestRun::Dispatch(TimePoint now, Actions& actions) {
+  while (this->attempts.size() < this->services.settings.attempts) {
+    const bool may_probe =
+        this->attempts.empty() && this->accepted.is_repeatable;
+    auto plan = this->services.planner.Plan(this->accepted, this->excluded,
+                                            may_probe, now);
+    if (!plan) {
+      break;
+    }
+    if (this->Send(std::move(*plan), now)) {
+      actions.arms_timer = true;
+      return std::nullopt;
+    }
+  }
+  return Refusal{.status = 503,
+                 .code = "no_endpoint",
+                 .message = "no endpoint can take model \"" +
+                            this->accepted.model + "\" now",
+                 .verdict = this->OverallVerdict(),
+                 .retry_after = kNoEndpointRetryAfter};
+}
+
+bool RequestRun::Send(RoutePlan plan, TimePoint now) {
+  const std::size_t index = this->attempts.size();
+  this->excluded.insert(plan.candidate.replica);
+  Attempt& attempt = this->attempts.emplace_back();
+  attempt.id = this->stem + "." + std::to_string(index);
+  attempt.plan = std::move(plan);
+  attempt.started = now;
+  const auto remaining =
+      std::chrono::ceil<std::chrono::milliseconds>(this->expires_at - now);
+  const auto self = this->shared_from_this();
+  const auto sent = this->services.fleet.Execute(
+      attempt.plan.candidate.daemon,
+      {.attempt = attempt.id,
+       .request = this->accepted.id,
+       .workspace = this->accepted.workspace,
+       .request_class = this->accepted.request_class,
+       .kind = messages::WorkKind::kOnline,
+       .endpoint = attempt.plan.endpoint,
+       .replica = attempt.plan.replica,
+       .model = this->accepted.model,
+       .prompt = this->accepted.prompt,
+       .max_tokens = this->accepted.max_tokens,
+       .repeatable = this->accepted.is_repeatable,
+       .patience_ms = static_cast<std::uint32_t>(remaining.count())},
+      {.on_chunk = [self,
+                    index](const auto& chunk) { self->OnChunk(index, chunk); },
+       .on_done = [self,
+                   index](const auto& done) { self->OnDone(index, done); }});
+  if (!sent) {
+    // Nothing was sent, so the attempt never starts.
+    attempt.verdict = Verdict::kNotRun;
+    this->services.planner.OnFailure(attempt.plan, now);
+  }
+  return sent.has_value();
+}
+
+void RequestRun::SendHedge(TimePoint now, Actions& actions) {
+  if (!this->accepted.is_repeatable || this->winner ||
+      !this->HasLiveAttempt()) {
+    return;
+  }
+  const Attempt& first = this->attempts.back();
+  this->services.planner.OnWaiting(first.plan, now - first.started, now);
+  if (this->attempts.size() >= this->services.settings.attempts ||
+      !this->services.planner.TryHedge(this->accepted.model, now)) {
+    return;
+  }
+  if (!this->Dispatch(now, actions)) {
+    LogEvent(Event::kRequestHedged, {{"request", this->accepted.id},
+                                     {"attempt", this->attempts.back().id}});
+  }
+}
+
+void RequestRun::Retry(TimePoint now, Actions& actions) {
+  this->winner = std::nullopt;
+  if (this->Dispatch(now, actions)) {
+    if (this->attempts.size() >= this->services.settings.attempts) {
+      this->FinishNow(
+          {.refusal = this->MakeRefusal({.verdict = this->OverallVerdict(),
+                                         .reason = "attempts_used_up"})},
+          actions);
+      return;
+    }
+    this->retry_at = now + kRetryPause;
+    actions.arms_timer = true;
+  }
+}
+
+void RequestRun::SelectWinner(std::size_t index, Actions& actions) {
+  this->winner = index;
+  this->hedge_at = std::nullopt;
+  for (std::size_t i = 0; i < this->attempts.size(); ++i) {
+    Attempt& other = this->attempts[i];
+    if (i != index && !other.verdict && !other.is_revoked) {
+      other.is_revoked = true;
+      actions.revokes.emplace_back(other.plan.candidate.daemon, other.id);
+    }
+  }
+}
+
+void RequestRun::MeasureTokens(Attempt& attempt,
+                               std::uint32_t minimum,
+                               TimePoint now) {
+  const std::uint32_t tokens =
+      attempt.stream.token_count() - attempt.mark_tokens;
+  if (tokens >= minimum) {
+    this->services.planner.OnToken(attempt.plan, (now - attempt.mark) / tokens,
+                                   now);
+    attempt.mark = now;
+    attempt.mark_tokens = attempt.stream.token_count();
+  }
+}
+
+void RequestRun::Account(const Attempt& attempt,
+                         const messages::AttemptDone& done,
+                         TimePoint now) {
+  if (attempt.is_revoked) {
+    return;
+  }
+  auto& planner = this->services.planner;
+  if (done.complete) {
+    planner.OnFinished(attempt.plan, now - attempt.started, now);
+  } else if (done.verdict == Verdict::kNotRun) {
+    planner.OnRefused(attempt.plan,
+                      std::chrono::milliseconds(done.retry_after_ms), now);
+  } else if (done.verdict == Verdict::kMayHaveRun) {
+    planner.OnFailure(attempt.plan, now);
+  }
+}
+
+bool RequestRun::MayRetry(const messages::AttemptDone& done, TimePoint now) {
+  if (this->has_passed_text || now >= this->expires_at ||
+      this->attempts.size() >= this->services.settings.attempts) {
+    return false;
+  }
+  const Verdict verdict = EffectiveVerdict(done);
+  const bool is_safe =
+      this->accepted.is_repeatable
+          ? verdict != Verdict::kRan && done.reason != "patience_expired"
+          : this->OverallVerdict() == Verdict::kNotRun;
+  return is_safe && (IsFreeRetry(done) || this->services.planner.TryRetry(now));
+}
+
+bool RequestRun::HasLiveAttempt() const {
+  return std::any_of(this->attempts.begin(), this->attempts.end(),
+                     [](const Attempt& attempt) {
+                       return !attempt.verdict && !attempt.is_revoked;
+                     });
+}
+
+void RequestRun::RevokeLive(Actions& actions) {
+  for (auto& attempt : this->attempts) {
+    if (!attempt.verdict && !attempt.is_revoked) {
+      attempt.is_revoked = true;
+      actions.revokes.emplace_back(attempt.plan.candidate.daemon, attempt.id);
+    }
+  }
+}
+
+void RequestRun::Expire(TimePoint now, Actions& actions) {
+  if (!this->give_up_at) {
+    this->give_up_at = now + this->services.settings.revoke_wait;
+    this->RevokeLive(actions);
+  }
+  const bool is_settled =
+      std::all_of(this->attempts.begin(), this->attempts.end(),
+                  [](const Attempt& attempt) { return attempt.verdict; });
+  if (is_settled || now >= *this->give_up_at) {
+    this->FinishExpired(actions);
+  } else {
+    this->hedge_at = std::nullopt;
+    this->retry_at = std::nullopt;
+    actions.arms_timer = true;
+  }
+}
+
+Verdict RequestRun::OverallVerdict() const {
+  Verdict overall = Verdict::kNotRun;
+  for (const auto& attempt : this->attempts) {
+    overall = std::max(overall, attempt.verdict.value_or(Verdict::kMayHaveRun));
+  }
+  return overall;
+}
+
+Refusal RequestRun::MakeRefusal(const messages::AttemptDone& done) const {
+  const Verdict verdict = this->OverallVerdict();
+  const std::string reason = done.complete ? "answer_truncated" : done.reason;
+  auto retry_after = std::chrono::milliseconds(done.retry_after_ms);
+  if (verdict == Verdict::kNotRun && retry_after.count() == 0) {
+    retry_after = kNoEndpointRetryAfter;
+  }
+  return {.status = StatusOf(reason, verdict),
+          .code = reason,
+          .message = "the request was not completed",
+          .verdict = verdict,
+          .retry_after = retry_after};
+}
+
+void RequestRun::FinishExpired(Actions& actions) {
+  this->FinishNow({.refusal = Refusal{.status = 504,
+                                      .code = "patience_expired",
+                                      .message = "no complete answer within "
+                                                 "the caller's patience",
+                                      .verdict = this->OverallVerdict()}},
+                  actions);
+}
+
+void RequestRun::FinishNow(RunOutcome outcome, Actions& actions) {
+  if (this->result) {
+    return;
+  }
+  this->result = std::move(outcome);
+  this->hedge_at = std::nullopt;
+  this->retry_at = std::nullopt;
+  actions.arms_timer = false;
+  actions.is_finished = true;
+}
+
+const std::string& RequestRun::AnswerText() const {
+  if (this->result && this->result->is_whole()) {
+    return this->result->text;
+  }
+  static const std::string kNone;
+  return this->winner ? this->attempts[*this->winner].stream.text() : kNone;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Entry/request_run.h
@@ -0,0 +1,175 @@
+#ifndef ENTRY_REQUEST_RUN_H_
+#define ENTRY_REQUEST_RUN_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Entry/attempt_stream.h"
+#include "Entry/fleet.h"
+#include "Entry/online_request.h"
+#include "Entry/refusal.h"
+#include "Entry/route_planner.h"
+#include "LibSettings/settings.h"
+
+namespace crocus {
+
+/// How a request ended: the whole answer, or a refusal.
+struct RunOutcome {
+  std::optional<Refusal> refusal;
+  std::string text;
+  std::uint32_t token_count = 0;
+
+  bool operator==(const RunOutcome&) const = default;
+
+  bool is_whole() const { return !this->refusal; }
+};
+
+class RequestRun;
+
+/// What all runs of an entry share.
+struct RunServices {
+  boost::asio::io_context& context;
+  Fleet& fleet;
+  RoutePlanner& planner;
+  const EntrySettings::Online settings;
+  /// Called once for each run, without its lock.
+  std::function<void(const std::shared_ptr<RequestRun>&)> on_finished;
+};
+
+/// One accepted request: its attempts, and the callers that wait for it. The
+/// attempt that sends the first token gives the whole answer; tokens of two
+/// attempts are never mixed.
+///
+/// An attempt is repeated only if the daemon confirmed that it did not run, or
+/// if the request is repeatable and no caller has received text. A model's
+/// second answer may differ from the first, so a stream that has begun ends
+/// with an error.
+///
+/// Thread-safe. The lock is taken before those of RoutePlanner and Fleet.
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+ public:
+  RequestRun(RunServices& services,
+             OnlineRequest request,
+             TimePoint received,
+             TimePoint deadline);
+
+  /// Sends the first attempt.
+  void Start();
+  /// Ends the run without an attempt, for example with a result from the log.
+  void Finish(RunOutcome outcome);
+
+  /// Callers that wait. When the last one has left, the attempts are revoked,
+  /// unless the request has an intent: its result stays readable, so it runs
+  /// to its end.
+  void AddReader();
+  void RemoveReader();
+
+  /// Waits for the outcome.
+  bool WaitForOutcome(TimePoint limit);
+  /// Returns text from the byte `position` on, which then moves. Nothing if
+  /// the run is over or `limit` has passed.
+  std::optional<std::string> ReadText(std::size_t& position, TimePoint limit);
+
+  std::optional<RunOutcome> outcome() const;
+  const OnlineRequest& request() const { return this->accepted; }
+  /// Stem of the ids of the attempts.
+  const std::string& attempt_stem() const { return this->stem; }
+  /// Ids of attempts whose results a daemon may hold, with the daemons.
+  std::vector<std::pair<std::string, std::string>> HeldAttempts() const;
+  TimePoint received() const { return this->received_at; }
+  TimePoint deadline() const { return this->expires_at; }
+  /// True once Start was called; an intent is in the log by then if needed.
+  bool is_started() const;
+  std::optional<TimePoint> first_dispatch() const;
+  std::optional<TimePoint> first_token() const;
+
+ private:
+  struct Attempt {
+    std::string id;
+    RoutePlan plan;
+    TimePoint started{};
+    AttemptStream stream;
+    std::optional<TimePoint> first_token;
+    /// Where the measurement of the time between tokens began.
+    TimePoint mark{};
+    std::uint32_t mark_tokens = 0;
+    /// Set once the attempt is over or its revocation was answered.
+    std::optional<Verdict> verdict;
+    bool is_revoked = false;
+  };
+  /// Work to do after the lock is released.
+  struct Actions {
+    std::vector<std::pair<std::string, std::string>> revokes;
+    bool arms_timer = false;
+    bool is_finished = false;
+  };
+
+  /// Runs `event` under the lock, then the actions that it asks for.
+  template <typename Event>
+  void Handle(Event event);
+  void Perform(const Actions& actions);
+
+  void OnChunk(std::size_t index, const messages::TokenChunk& chunk);
+  void OnDone(std::size_t index, const messages::AttemptDone& done);
+  void OnRevokeReply(const std::string& id, Verdict verdict);
+  void OnTimer();
+  void ArmTimer();
+
+  /// Need the lock, as do the functions that follow.
+  std::optional<TimePoint> NextWake() const;
+  std::optional<Refusal> Dispatch(TimePoint now, Actions& actions);
+  bool Send(RoutePlan plan, TimePoint now);
+  void SendHedge(TimePoint now, Actions& actions);
+  void Retry(TimePoint now, Actions& actions);
+  void SelectWinner(std::size_t index, Actions& actions);
+  void MeasureTokens(Attempt& attempt, std::uint32_t minimum, TimePoint now);
+  void Account(const Attempt& attempt,
+               const messages::AttemptDone& done,
+               TimePoint now);
+  bool MayRetry(const messages::AttemptDone& done, TimePoint now);
+  bool HasLiveAttempt() const;
+  void RevokeLive(Actions& actions);
+  void Expire(TimePoint now, Actions& actions);
+  Verdict OverallVerdict() const;
+  Refusal MakeRefusal(const messages::AttemptDone& done) const;
+  void FinishExpired(Actions& actions);
+  void FinishNow(RunOutcome outcome, Actions& actions);
+  const std::string& AnswerText() const;
+
+  RunServices& services;
+  const OnlineRequest accepted;
+  const std::string stem;
+  const TimePoint received_at;
+  const TimePoint expires_at;
+  boost::asio::steady_timer timer;
+
+  mutable std::mutex mutex;
+  std::condition_variable wake;
+  std::deque<Attempt> attempts;
+  std::optional<std::size_t> winner;
+  std::set<std::string> excluded;
+  std::optional<TimePoint> hedge_at;
+  std::optional<TimePoint> retry_at;
+  /// Set once the patience has passed: when to stop waiting for daemons.
+  std::optional<TimePoint> give_up_at;
+  std::optional<RunOutcome> result;
+  bool has_started = false;
+  std::uint32_t readers = 0;
+  bool has_passed_text = false;
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_REQUEST_RUN_H_
--- /dev/null
+++ b/Services/Entry/route_planner.cc
@@ -0,0 +1,262 @@
+#include "Entry/route_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+/// Ejections are decided at most this often; a decision looks at all replicas.
+constexpr std::chrono::milliseconds kEvaluationInterval{20};
+
+/// Extra attempts that stay possible at low traffic.
+constexpr double kMinimumRetries = 3;
+
+EndpointRule RuleOf(const RuleSet& rules, const std::string& endpoint) {
+  const auto found = rules.endpoints.find(endpoint);
+  return found == rules.endpoints.end() ? EndpointRule{} : found->second;
+}
+
+RouteCandidate CandidateOf(const ReplicaView& view) {
+  return {
+      .daemon = view.daemon,
+      .replica = view.daemon + "/" + view.load.replica,
+      .availability_zone = view.availability_zone,
+      .region = view.region,
+      .slots = view.load.slots,
+      .outstanding = view.outstanding,
+      .reported_online = view.load.online_running + view.load.online_waiting,
+      .outstanding_at_report = view.outstanding_at_report,
+      .reported = view.reported};
+}
+
+}  // namespace
+
+RoutePlanner::RoutePlanner(Fleet& fleet,
+                           RouterOptions options,
+                           std::uint64_t seed)
+    : fleet(fleet),
+      router(std::move(options), seed),
+      retries({.minimum = kMinimumRetries}) {}
+
+void RoutePlanner::SetRules(std::shared_ptr<const RuleSet> rules) {
+  std::lock_guard lock(this->mutex);
+  this->current_rules = std::move(rules);
+}
+
+std::shared_ptr<const RuleSet> RoutePlanner::rules() const {
+  std::lock_guard lock(this->mutex);
+  return this->current_rules;
+}
+
+std::optional<RoutePlan> RoutePlanner::Plan(
+    const OnlineRequest& request,
+    const std::set<std::string>& excluded,
+    bool may_probe,
+    TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  Views usable = this->UsableReplicas(request.model);
+  this->Evaluate(usable, now);
+  std::optional<std::size_t> chosen;
+  if (may_probe) {
+    chosen = this->TakeProbe(usable, now);
+  }
+  if (!chosen) {
+    Views healthy;
+    Views others;
+    for (std::size_t i = 0; i < usable.views.size(); ++i) {
+      if (excluded.contains(usable.candidates[i].replica)) {
+        continue;
+      }
+      Views& target =
+          this->IsEjected(usable.views[i], usable.candidates[i].replica)
+              ? others
+              : healthy;
+      target.views.push_back(std::move(usable.views[i]));
+      target.candidates.push_back(std::move(usable.candidates[i]));
+    }
+    usable = healthy.views.empty() ? std::move(others) : std::move(healthy);
+    chosen = this->router.Choose(
+        usable.candidates,
+        {.prompt = request.prompt, .max_tokens = request.max_tokens},
+        *this->current_rules, now);
+  }
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return RoutePlan{.candidate = usable.candidates[*chosen],
+                   .endpoint = usable.views[*chosen].load.endpoint,
+                   .replica = usable.views[*chosen].load.replica};
+}
+
+AdmissionLoad RoutePlanner::LoadFor(const std::string& model,
+                                    TimePoint now) const {
+  std::lock_guard lock(this->mutex);
+  const Views usable = this->UsableReplicas(model);
+  AdmissionLoad load;
+  Duration shortest = Duration::max();
+  bool has_free_slot = false;
+  for (const auto& candidate : usable.candidates) {
+    load.slots += candidate.slots;
+    load.outstanding += candidate.outstanding;
+    has_free_slot |= candidate.outstanding < candidate.slots;
+    if (!has_free_slot) {
+      shortest = std::min(shortest, this->router.ExpectedWait(candidate, now));
+    }
+  }
+  load.expected_wait =
+      has_free_slot || usable.candidates.empty() ? Duration(0) : shortest;
+  return load;
+}
+
+void RoutePlanner::OnRequest(const std::string& model, TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->hedges[model].OnRequest(now);
+  this->retries.OnRequest(now);
+}
+
+void RoutePlanner::OnFirstToken(const std::string& model,
+                                const RoutePlan& plan,
+                                Duration time,
+                                TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->hedges[model].OnFirstToken(time);
+  this->router.OnFirstToken(plan.candidate.replica, time, now);
+  this->endpoints[plan.endpoint].detector.OnFirstToken(plan.candidate.replica,
+                                                       time, now);
+}
+
+void RoutePlanner::OnToken(const RoutePlan& plan,
+                           Duration time,
+                           TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->router.OnToken(plan.candidate.replica, time, now);
+  this->endpoints[plan.endpoint].detector.OnToken(plan.candidate.replica, time,
+                                                  now);
+}
+
+void RoutePlanner::OnWaiting(const RoutePlan& plan,
+                             Duration waited,
+                             TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->endpoints[plan.endpoint].detector.OnWaiting(plan.candidate.replica,
+                                                    waited, now);
+}
+
+void RoutePlanner::OnFinished(const RoutePlan& plan,
+                              Duration time,
+                              TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->router.OnFinished(plan.candidate.replica, time, now);
+}
+
+void RoutePlanner::OnRefused(const RoutePlan& plan,
+                             Duration retry_after,
+                             TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->router.OnRefused(plan.candidate, retry_after, now);
+}
+
+void RoutePlanner::OnFailure(const RoutePlan& plan, TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  this->router.OnRefused(plan.candidate, Duration(0), now);
+  this->endpoints[plan.endpoint].detector.OnFailure(plan.candidate.replica,
+                                                    now);
+}
+
+std::optional<Duration> RoutePlanner::HedgeDelay(const std::string& model,
+                                                 bool is_repeatable) const {
+  std::lock_guard lock(this->mutex);
+  const auto found = this->hedges.find(model);
+  return found == this->hedges.end() ? HedgePolicy().Delay(is_repeatable)
+                                     : found->second.Delay(is_repeatable);
+}
+
+bool RoutePlanner::TryHedge(const std::string& model, TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  return this->hedges[model].TryHedge(this->current_rules->budgets, now);
+}
+
+bool RoutePlanner::TryRetry(TimePoint now) {
+  std::lock_guard lock(this->mutex);
+  return this->retries.TryTake(this->current_rules->budgets.retry_share, now);
+}
+
+RoutePlanner::Views RoutePlanner::UsableReplicas(
+    const std::string& model) const {
+  Views usable;
+  for (auto& view : this->fleet.ReplicasFor(model)) {
+    if (RuleOf(*this->current_rules, view.load.endpoint).is_leaving) {
+      continue;
+    }
+    usable.candidates.push_back(CandidateOf(view));
+    usable.views.push_back(std::move(view));
+  }
+  return usable;
+}
+
+void RoutePlanner::Evaluate(const Views& views, TimePoint now) {
+  std::map<std::string, std::vector<std::string>> replicas;
+  for (std::size_t i = 0; i < views.views.size(); ++i) {
+    const auto& name = views.views[i].load.endpoint;
+    if (now - this->endpoints[name].evaluated >= kEvaluationInterval) {
+      replicas[name].push_back(views.candidates[i].replica);
+    }
+  }
+  for (const auto& [name, names] : replicas) {
+    Endpoint& endpoint = this->endpoints[name];
+    endpoint.evaluated = now;
+    endpoint.detector.Evaluate(
+        names, RuleOf(*this->current_rules, name).ejected_share, now);
+    this->ReportChanges(name, endpoint);
+  }
+}
+
+void RoutePlanner::ReportChanges(const std::string& name,
+                                 Endpoint& endpoint) const {
+  const auto& ejected = endpoint.detector.ejected();
+  for (const auto& replica : ejected) {
+    if (!endpoint.reported.contains(replica)) {
+      LogEvent(Event::kReplicaEjected,
+               {{"endpoint", name}, {"replica", replica}});
+    }
+  }
+  for (const auto& replica : endpoint.reported) {
+    if (!ejected.contains(replica)) {
+      LogEvent(Event::kReplicaReturned,
+               {{"endpoint", name}, {"replica", replica}});
+    }
+  }
+  endpoint.reported = ejected;
+}
+
+std::optional<std::size_t> RoutePlanner::TakeProbe(const Views& views,
+                                                   TimePoint now) {
+  std::optional<std::string> probed;
+  for (const auto& view : views.views) {
+    const auto endpoint = this->endpoints.find(view.load.endpoint);
+    if (endpoint != this->endpoints.end() &&
+        !endpoint->second.detector.ejected().empty()) {
+      probed = endpoint->second.detector.TakeProbe(now);
+      break;
+    }
+  }
+  for (std::size_t i = 0; probed && i < views.candidates.size(); ++i) {
+    if (views.candidates[i].replica == *probed) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+bool RoutePlanner::IsEjected(const ReplicaView& view,
+                             const std::string& replica) const {
+  const auto endpoint = this->endpoints.find(view.load.endpoint);
+  return endpoint != this->endpoints.end() &&
+         endpoint->second.detector.ejected().contains(replica);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Entry/route_planner.h
@@ -0,0 +1,99 @@
+#ifndef ENTRY_ROUTE_PLANNER_H_
+#define ENTRY_ROUTE_PLANNER_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Entry/fleet.h"
+#include "Entry/online_request.h"
+#include "LibPolicy/admission.h"
+#include "LibPolicy/hedge_policy.h"
+#include "LibPolicy/outlier_detector.h"
+#include "LibPolicy/retry_budget.h"
+#include "LibPolicy/router.h"
+#include "LibRules/rule_set.h"
+
+namespace crocus {
+
+/// Where an attempt goes.
+struct RoutePlan {
+  /// `replica` is unique in the fleet: the daemon's address and the name.
+  RouteCandidate candidate;
+  std::string endpoint;
+  /// Name of the replica behind its daemon.
+  std::string replica;
+
+  bool operator==(const RoutePlan&) const = default;
+};
+
+/// Keeps what the entry observes and chooses replicas by it, for all requests.
+/// Thread-safe; its lock is taken before the Fleet's and after a run's.
+class RoutePlanner {
+ public:
+  RoutePlanner(Fleet& fleet, RouterOptions options, std::uint64_t seed);
+
+  void SetRules(std::shared_ptr<const RuleSet> rules);
+  std::shared_ptr<const RuleSet> rules() const;
+
+  /// Chooses a replica that is not in `excluded`. A request that may be used
+  /// as a probe may be sent to an ejected replica.
+  std::optional<RoutePlan> Plan(const OnlineRequest& request,
+                                const std::set<std::string>& excluded,
+                                bool may_probe,
+                                TimePoint now);
+
+  /// Load of the replicas that serve the model, for admission.
+  AdmissionLoad LoadFor(const std::string& model, TimePoint now) const;
+
+  void OnRequest(const std::string& model, TimePoint now);
+  void OnFirstToken(const std::string& model,
+                    const RoutePlan& plan,
+                    Duration time,
+                    TimePoint now);
+  void OnToken(const RoutePlan& plan, Duration time, TimePoint now);
+  void OnWaiting(const RoutePlan& plan, Duration waited, TimePoint now);
+  void OnFinished(const RoutePlan& plan, Duration time, TimePoint now);
+  void OnRefused(const RoutePlan& plan, Duration retry_after, TimePoint now);
+  void OnFailure(const RoutePlan& plan, TimePoint now);
+
+  std::optional<Duration> HedgeDelay(const std::string& model,
+                                     bool is_repeatable) const;
+  bool TryHedge(const std::string& model, TimePoint now);
+  bool TryRetry(TimePoint now);
+
+ private:
+  struct Endpoint {
+    OutlierDetector detector;
+    TimePoint evaluated{};
+    std::set<std::string> reported;
+  };
+  struct Views {
+    std::vector<ReplicaView> views;
+    std::vector<RouteCandidate> candidates;
+  };
+
+  /// Needs the lock, as do the functions that follow.
+  Views UsableReplicas(const std::string& model) const;
+  void Evaluate(const Views& views, TimePoint now);
+  void ReportChanges(const std::string& name, Endpoint& endpoint) const;
+  std::optional<std::size_t> TakeProbe(const Views& views, TimePoint now);
+  bool IsEjected(const ReplicaView& view, const std::string& replica) const;
+
+  Fleet& fleet;
+  mutable std::mutex mutex;
+  Router router;
+  std::map<std::string, Endpoint> endpoints;
+  std::map<std::string, HedgePolicy> hedges;
+  RetryBudget retries;
+  std::shared_ptr<const RuleSet> current_rules =
+      std::make_shared<const RuleSet>();
+};
+
+}  // namespace crocus
+
+#endif  // ENTRY_ROUTE_PLANNER_H_
--- /dev/null
+++ b/Tests/Processes/online_requests_test.cc
@@ -0,0 +1,383 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+
+#include <CppUTest/TestHarness.h>
+
+#include "LibCore/hashing.h"
+#include "process_fleet.h"
+
+namespace crocus {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Answer of the engine stand-in, whose tokens follow from the prompt.
+std::string ExpectedAnswer(const std::string& prompt, std::uint32_t tokens) {
+  std::string text;
+  for (std::uint32_t i = 0; i < tokens; ++i) {
+    text += "t" + std::to_string(HashBytes(prompt, i) % 10000) + " ";
+  }
+  return text;
+}
+
+std::string Body(const std::string& prompt,
+                 std::uint32_t tokens,
+                 const std::string& more = "") {
+  return nlohmann::json{{"model", "proof"},
+                        {"prompt", prompt},
+                        {"max_tokens", tokens},
+                        {"workspace", "mats"}}
+      .dump()
+      .insert(1, more);
+}
+
+const std::string kOnce = R"("repeatable":false,)";
+
+std::string TextOf(const nlohmann::json& reply) {
+  return reply.is_object() && reply.contains("choices")
+             ? reply["choices"][0].value("text", "")
+             : "";
+}
+
+/// A caller's connection that can be cut at any moment.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port) {
+    this->descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    CHECK_EQUAL(0,
+                connect(this->descriptor, reinterpret_cast<sockaddr*>(&address),
+                        sizeof(address)));
+  }
+  ~RawCaller() { this->Cut(); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  void Send(const std::string& bytes) {
+    send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+  void SendRequest(const std::string& body) {
+    this->Send("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+               std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+  void Cut() {
+    if (this->descriptor >= 0) {
+      close(this->descriptor);
+    }
+    this->descriptor = -1;
+  }
+
+ private:
+  int descriptor = -1;
+};
+
+}  // namespace
+
+TEST_GROUP(OnlineRequests_TwoEntriesTwoDaemons) {
+  ProcessFleet fleet;
+  std::string log;
+  std::string engines[2];
+  std::string entries[2];
+
+  void setup() override {
+    this->log = this->fleet.StartStandin("log", {"log"});
+    std::vector<std::string> daemons;
+    for (int i = 0; i < 2; ++i) {
+      const std::string number = std::to_string(i + 1);
+      this->engines[i] = this->fleet.StartStandin(
+          "engine-" + number, {"engine", "--token-us", "20000"});
+      daemons.push_back(
+          this->fleet.StartDaemon("daemon-" + number, {this->engines[i]}));
+    }
+    for (int i = 0; i < 2; ++i) {
+      this->entries[i] =
+          this->fleet.StartEntry("entry-" + std::to_string(i + 1), this->log,
+                                 daemons, "[shutdown]\nbalancer_delay = 700\n");
+    }
+    for (const auto& entry : this->entries) {
+      CHECK(WaitUntil([&entry] {
+        const auto metrics = Call("GET", entry + "/readyz");
+        return metrics.status == 200;
+      }));
+      // Both daemons are known once a request for any model is routed.
+    }
+    std::this_thread::sleep_for(milliseconds(150));
+  }
+
+  nlohmann::json State(int engine) {
+    return CallJson("GET", this->engines[engine] + "/admin/state");
+  }
+
+  int Running() {
+    return this->State(0).value("running", 0) +
+           this->State(1).value("running", 0);
+  }
+
+  /// Runs of all attempts at both engines.
+  int Runs() {
+    int runs = 0;
+    for (int i = 0; i < 2; ++i) {
+      const auto state = this->State(i);
+      for (const auto& [attempt, count] : state["runs"].items()) {
+        runs += count.get<int>();
+      }
+    }
+    return runs;
+  }
+
+  /// Waits for the first engine that runs something; -1 if none does.
+  int WaitForEngine() {
+    int engine = -1;
+    WaitUntil([this, &engine] {
+      for (int i = 0; i < 2; ++i) {
+        engine = this->State(i).value("running", 0) > 0 ? i : engine;
+      }
+      return engine >= 0;
+    });
+    return engine;
+  }
+
+  void KillDaemonOfRunningEngine() {
+    const int engine = this->WaitForEngine();
+    CHECK(engine >= 0);
+    std::this_thread::sleep_for(milliseconds(100));
+    this->fleet.Signal("daemon-" + std::to_string(engine + 1), SIGKILL);
+  }
+
+  std::future<nlohmann::json> Post(
+      int entry, const std::string& body,
+      const std::map<std::string, std::string>& headers = {}) {
+    return std::async(
+        std::launch::async,
+        [url = this->entries[entry] + "/v1/requests", body, headers] {
+          return CallJson("POST", url, body, headers);
+        });
+  }
+
+  void SetOutage(bool is_out) {
+    Call("POST", this->log + "/admin/faults",
+         nlohmann::json{{"outage", is_out}}.dump());
+    // The entries notice it with their next read.
+    std::this_thread::sleep_for(milliseconds(700));
+  }
+};
+
+// Guards against a repeatable request that fails with its daemon, or whose
+// answer mixes the tokens of two attempts.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, RepeatableIsRetriedAfterDaemonDied) {
+  auto reply = this->Post(0, Body("brand", 30));
+  this->KillDaemonOfRunningEngine();
+  STRCMP_EQUAL(ExpectedAnswer("brand", 30).c_str(),
+               TextOf(reply.get()).c_str());
+}
+
+// Guards against a second run of work that must run at most once, and against
+// reporting it as not run.
+TEST(OnlineRequests_TwoEntriesTwoDaemons,
+     NonRepeatableMayHaveRunAfterDaemonDied) {
+  auto reply = this->Post(0, Body("ticket", 30, kOnce));
+  this->KillDaemonOfRunningEngine();
+  const auto json = reply.get();
+  STRCMP_EQUAL("may_have_run", json.value("verdict", "").c_str());
+  STRCMP_EQUAL("connection_lost", json["error"].value("code", "").c_str());
+  CHECK_EQUAL(1, this->Runs());
+}
+
+// Guards against a stream that repeats or mixes tokens after its daemon died:
+// once text was passed on, it ends with an error.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, StreamWithTextEndsWithAnError) {
+  auto reply = std::async(std::launch::async, [this] {
+    return Call("POST", this->entries[0] + "/v1/requests",
+                Body("proof", 30, R"("stream":true,)"))
+        .body;
+  });
+  this->KillDaemonOfRunningEngine();
+  const std::string body = reply.get();
+  CHECK(body.find("may_have_run") != std::string::npos);
+  CHECK(body.find("[DONE]") == std::string::npos);
+  std::string text;
+  for (std::size_t at = body.find("data: {"); at != std::string::npos;
+       at = body.find("data: {", at + 1)) {
+    text += TextOf(nlohmann::json::parse(
+        body.substr(at + 6, body.find('\n', at) - at - 6), nullptr, false));
+  }
+  CHECK_FALSE(text.empty());
+  CHECK(ExpectedAnswer("proof", 30).rfind(text, 0) == 0);
+}
+
+// Guards against a second run of a keyed request that is resent through both
+// entries while the log is away and after, and against losing its result.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, ResentKeyedRequestRunsOnce) {
+  const std::string body = Body("order", 100, kOnce);
+  const std::map<std::string, std::string> key = {{"Idempotency-Key", "o-1"}};
+  auto first = this->Post(0, body, key);
+  CHECK(this->WaitForEngine() >= 0);
+  std::this_thread::sleep_for(milliseconds(300));
+  this->SetOutage(true);
+  auto attached = this->Post(0, body, key);
+  const auto elsewhere =
+      this->Post(1, body,
+                 {{"Idempotency-Key", "o-1"}, {"X-Patience-Ms", "300"}})
+          .get();
+  STRCMP_EQUAL("may_have_run", elsewhere.value("verdict", "").c_str());
+  const auto refused = this->Post(1, body, {{"Idempotency-Key", "o-2"}}).get();
+  STRCMP_EQUAL("not_run", refused.value("verdict", "").c_str());
+  STRCMP_EQUAL("log_unavailable", refused["error"].value("code", "").c_str());
+  const auto other = this->Post(0, Body("other", 5, kOnce), key).get();
+  STRCMP_EQUAL("key_reused", other["error"].value("code", "").c_str());
+  const auto reply = first.get();
+  const std::string expected = ExpectedAnswer("order", 100);
+  STRCMP_EQUAL(expected.c_str(), TextOf(reply).c_str());
+  STRCMP_EQUAL(expected.c_str(), TextOf(attached.get()).c_str());
+  this->SetOutage(false);
+  for (int entry = 0; entry < 2; ++entry) {
+    std::string text;
+    CHECK(WaitUntil([&] {
+      text = TextOf(
+          this->Post(entry, body,
+                     {{"Idempotency-Key", "o-1"}, {"X-Patience-Ms", "2000"}})
+              .get());
+      return !text.empty();
+    }));
+    STRCMP_EQUAL(expected.c_str(), text.c_str());
+    const auto stored = CallJson(
+        "GET", this->entries[entry] + "/v1/results/" + reply.value("id", ""));
+    STRCMP_EQUAL(expected.c_str(), stored.value("text", "").c_str());
+  }
+  CHECK_EQUAL(1, this->Runs());
+}
+
+// Guards against a second run after the entry that dispatched a keyed request
+// was killed, and against losing the result that its daemon holds.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, ResultOutlivesAKilledEntry) {
+  const std::string body = Body("print", 40, kOnce);
+  const std::map<std::string, std::string> key = {{"Idempotency-Key", "p-1"},
+                                                  {"X-Patience-Ms", "400"}};
+  auto first = this->Post(0, body, {{"Idempotency-Key", "p-1"}});
+  CHECK(this->WaitForEngine() >= 0);
+  this->fleet.Signal("entry-1", SIGKILL);
+  first.get();
+  const auto resent = this->Post(1, body, key).get();
+  STRCMP_EQUAL("may_have_run", resent.value("verdict", "").c_str());
+  CHECK(WaitUntil([this] { return this->Running() == 0; }));
+  this->fleet.Restart("entry-1");
+  std::string text;
+  CHECK(WaitUntil([&] {
+    text = TextOf(this->Post(1, body, key).get());
+    return !text.empty();
+  }));
+  STRCMP_EQUAL(ExpectedAnswer("print", 40).c_str(), text.c_str());
+  CHECK_EQUAL(1, this->Runs());
+}
+
+// Guards against a hedged request that returns parts of two answers, or that
+// waits for the slow engine.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, HedgedRequestReturnsOneWholeAnswer) {
+  Call("POST", this->engines[0] + "/admin/faults",
+       R"({"slow_factor":150,"slow_ms":20000})");
+  bool is_hedged = false;
+  for (int i = 0; i < 10 && !is_hedged; ++i) {
+    const std::string prompt = "hedge " + std::to_string(i);
+    STRCMP_EQUAL(ExpectedAnswer(prompt, 6).c_str(),
+                 TextOf(this->Post(0, Body(prompt, 6)).get()).c_str());
+    is_hedged = this->fleet.LogOf("entry-1").find("request_hedged") !=
+                std::string::npos;
+  }
+  CHECK(is_hedged);
+  // The slower attempt is revoked and frees its slot.
+  CHECK(WaitUntil([this] { return this->Running() == 0; },
+                  std::chrono::seconds(2)));
+}
+
+// Guards against slots that stay taken after the caller has gone, with and
+// without a stream.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, CallerWhoLeavesFreesTheSlot) {
+  for (const char* more : {"", R"("stream":true,)"}) {
+    RawCaller caller(this->fleet.Port("entry-1", "http"));
+    caller.SendRequest(Body("long", 1000, more));
+    CHECK(this->WaitForEngine() >= 0);
+    caller.Cut();
+    CHECK(WaitUntil([this] { return this->Running() == 0; },
+                    std::chrono::seconds(3)));
+  }
+}
+
+// Guards against a shutdown that cuts off requests: callers send to the entry
+// for as long as it says that it is ready.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, ShutdownUnderLoadCutsOffNoRequest) {
+  std::atomic<bool> is_ready = true;
+  std::atomic<int> whole = 0;
+  std::atomic<int> failed = 0;
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i) {
+    callers.emplace_back([&, i] {
+      for (int n = 0; is_ready; ++n) {
+        const std::string prompt = std::to_string(i) + "-" + std::to_string(n);
+        const auto text = TextOf(CallJson(
+            "POST", this->entries[0] + "/v1/requests", Body(prompt, 12)));
+        ++(text == ExpectedAnswer(prompt, 12) ? whole : failed);
+      }
+    });
+  }
+  std::this_thread::sleep_for(milliseconds(600));
+  auto long_request = this->Post(0, Body("long", 100));
+  std::this_thread::sleep_for(milliseconds(100));
+  this->fleet.Signal("entry-1", SIGTERM);
+  WaitUntil([&] {
+    is_ready = Call("GET", this->entries[0] + "/readyz").status == 200;
+    return !is_ready;
+  });
+  for (auto& caller : callers) {
+    caller.join();
+  }
+  CHECK_EQUAL(0, failed.load());
+  CHECK(whole.load() > 12);
+  const auto reply = long_request.get();
+  STRCMP_EQUAL(ExpectedAnswer("long", 100).c_str(), TextOf(reply).c_str());
+  CHECK_EQUAL(0, this->fleet.Wait("entry-1", std::chrono::seconds(10)));
+  const auto stored = CallJson(
+      "GET", this->entries[1] + "/v1/results/" + reply.value("id", ""));
+  STRCMP_EQUAL(ExpectedAnswer("long", 100).c_str(),
+               stored.value("text", "").c_str());
+}
+
+// Guards against bodies that crash the entry or reach an engine although they
+// are not whole and valid.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, BrokenBodiesAreRefusedAsNotRun) {
+  const std::string url = this->entries[0] + "/v1/requests";
+  const std::string valid = Body("cut", 4);
+  for (const std::string& body :
+       {std::string("{"), std::string("[]"), std::string("\xff\xfe{}"),
+        Body("x", 0), Body("x", 4, R"("unknown":1,)"),
+        Body("x", 4, R"("repeatable":"no",)"), std::string(100, '[')}) {
+    const auto reply = Call("POST", url, body);
+    CHECK_EQUAL(400, reply.status);
+    CHECK(reply.body.find("not_run") != std::string::npos);
+  }
+  const auto large = Call("POST", url, std::string(2 << 20, 'x'));
+  CHECK_EQUAL(413, large.status);
+  {
+    RawCaller caller(this->fleet.Port("entry-1", "http"));
+    caller.Send("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                std::to_string(valid.size() + 1) + "\r\n\r\n" + valid);
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK_EQUAL(0, this->Runs());
+  STRCMP_EQUAL(ExpectedAnswer("cut", 4).c_str(),
+               TextOf(CallJson("POST", url, valid)).c_str());
+}
+
+}  // namespace crocus
