--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -1,9 +1,12 @@
 #include "Entry/entry.h"
 
+#include <algorithm>
+#include <thread>
 #include <utility>
 
 #include "Entry/refusal.h"
 #include "LibCore/random.h"
+#include "LibEvents/event_log.h"
 #include "LibHttp/json_response.h"
 
 namespace crocus {
@@ -18,6 +21,7 @@
              .on_offer =
                  [this](const std::string& daemon, const auto& offer) {
                    this->batches.OnOffer(daemon, offer);
+                   this->requests.OnOffer(daemon, offer);
                  },
              .on_lost =
                  [this](const std::string& daemon) {
@@ -35,6 +39,7 @@
       rules(this->settings,
             [this](const messages::RulesPush& push) {
               this->fleet.PushRules(push);
+              this->requests.SetRules(this->rules.Current());
             }),
       rules_peers(this->io.context(),
                   this->settings.fleet.entries,
@@ -49,7 +54,10 @@
                       }),
       peers(this->io, this->settings, this->incarnation),
       batches(this->settings, this->incarnation, this->fleet, this->peers),
-      requests(this->settings, this->fleet),
+      requests(this->settings,
+               this->incarnation,
+               this->io.context(),
+               this->fleet),
       batch_interface(this->settings, this->batches, this->peers),
       operator_interface(this->fleet,
                          this->rules,
@@ -83,19 +91,37 @@
   this->rules_peers.Start();
   this->batches.Start();
   this->orders.Start();
+  this->requests.Start();
   return this->server.Start();
 }
 
 void Entry::Stop() {
+  const auto& limits = this->settings.shutdown;
+  const auto step = [](const char* name) {
+    LogEvent(Event::kShutdownStep, {{"step", name}});
+  };
+  step("not_ready");
   this->is_leaving = true;
+  this->server.CloseConnectionsAfterReplies();
+  std::this_thread::sleep_for(limits.balancer_delay);
+  step("finish_requests");
+  this->server.StopAccepting();
+  const TimePoint end = MonotonicNow() + limits.running_limit;
+  const bool is_idle =
+      this->server.WaitUntilIdle(limits.running_limit) &&
+      this->requests.WaitUntilIdle(std::max(Duration(0), end - MonotonicNow()));
+  step(is_idle ? "flush_results" : "flush_results_with_running_requests");
   this->server.Stop();
   this->batches.Stop();
+  this->requests.Stop(limits.flush_limit);
   this->peers.Stop();
   this->rules.Stop();
   this->rules_peers.Stop();
   this->internal_server.Stop();
   this->orders.Stop();
   this->fleet.Stop();
+  // Callbacks of the fleet refer to members that are destroyed before it.
+  this->io.Stop();
 }
 
 void Entry::AddRoutes() {
@@ -121,6 +147,8 @@
   add("POST", "/v1/orders", [this](const HttpRequest& request) {
     return this->orders.Issue(request);
   });
+  add("GET", "/metrics",
+      [this](const HttpRequest&) { return this->requests.Metrics(); });
   add("POST", "/v1/batches", [this](const HttpRequest& request) {
     return this->batch_interface.Submit(request);
   });
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "LibCore/result.h"
+#include "LibCore/time.h"
 #include "LibMessages/messages.h"
 #include "LibNetwork/frame_client.h"
 
@@ -27,6 +28,9 @@
   messages::ReplicaLoad load;
   /// Attempts that this entry has sent and that have not ended.
   std::uint32_t outstanding = 0;
+  /// `outstanding` when the load figures came, and when that was.
+  std::uint32_t outstanding_at_report = 0;
+  TimePoint reported{};
 
   bool operator==(const ReplicaView&) const = default;
 };
@@ -123,6 +127,8 @@
     messages::Hello hello;
     std::map<std::string, messages::ReplicaLoad> replicas;
     std::map<std::string, std::uint32_t> outstanding;
+    std::map<std::string, std::uint32_t> outstanding_at_report;
+    TimePoint reported{};
   };
 
   void OnOpen(const std::string& daemon,
@@ -131,6 +137,12 @@
   void OnLost(const std::string& daemon);
   void OnLoadChange(const std::string& daemon,
                     const messages::LoadChange& change);
+  void OnLoadReport(const std::string& daemon,
+                    const messages::LoadReport& report);
+  void OnLeaving(const std::string& daemon,
+                 const messages::LeavingNotice& notice);
+  void OnRevokeReply(std::uint64_t correlation,
+                     const messages::RevokeReply& reply);
   void OnDone(const messages::AttemptDone& done);
   /// Asks the daemon for its rules if they are newer than ours.
   void OnRulesVersion(const std::string& daemon, std::uint64_t version);
