--- a/Utilities/Bench/main.cc
+++ b/Utilities/Bench/main.cc
@@ -8,6 +8,7 @@
 #include <cxxopts.hpp>
 
 #include "Bench/experiment_report.h"
+#include "Bench/real_path.h"
 #include "LibSettings/program_start.h"
 #include "LibSimulation/experiments.h"
 
@@ -20,13 +21,19 @@
   long       5% of the requests run 30 times longer
   slow       two replicas run 5 times slower for 10 s, again and again
 
-Each run contains the chosen policy, the baselines and the bounds that no
+Experiment with running processes, as their client:
+  real-path  latency that entry and daemon add when idle, requests per second
+             of one entry, memory for each open request; prints JSON
+
+Each run in virtual time contains the chosen policy, the baselines and the bounds that no
 policy can pass. The same seed gives the same figures.
 
 Examples:
   crocus-bench mixed --profile calloway --seed 1
   crocus-bench slow --profile tesfaye --seed 7 --json
   crocus-bench long --profile tesfaye --report /tmp/report
+  crocus-bench real-path --entry http://127.0.0.1:8080 \
+      --engine http://127.0.0.1:9000 --entry-process 4711
 
 Exit codes:
   0  the experiment ran; its targets may be met or missed
@@ -57,6 +64,25 @@
   return file.good();
 }
 
+int RunRealPath(const cxxopts::ParseResult& parsed) {
+  using crocus::ExitCode;
+  if (parsed.count("entry") == 0 || parsed.count("engine") == 0) {
+    return Fail(ExitCode::kUsage, "real-path needs --entry and --engine");
+  }
+  const auto result = crocus::MeasureRealPath(
+      {.entry_url = parsed["entry"].as<std::string>(),
+       .engine_url = parsed["engine"].as<std::string>(),
+       .model = parsed["model"].as<std::string>(),
+       .entry_process = parsed["entry-process"].as<int>(),
+       .p99_limit = std::chrono::milliseconds(
+           parsed["p99-limit-ms"].as<std::uint32_t>())});
+  if (!result) {
+    return Fail(ExitCode::kFailure, result.error().message);
+  }
+  std::cout << crocus::RealPathToJson(*result).dump(2) << "\n";
+  return Exit(ExitCode::kSuccess);
+}
+
 }  // namespace
 
 int main(int argument_count, char** arguments) {
@@ -75,6 +101,15 @@
       ("json", "print one JSON object")
       ("report", "write a page with plots into this directory",
        cxxopts::value<std::string>())
+      ("entry", "real-path: URL of an entry", cxxopts::value<std::string>())
+      ("engine", "real-path: URL of the engine behind the only daemon",
+       cxxopts::value<std::string>())
+      ("model", "real-path: model to ask for",
+       cxxopts::value<std::string>()->default_value("proof"))
+      ("entry-process", "real-path: process id of the entry, for its memory",
+       cxxopts::value<int>()->default_value("0"))
+      ("p99-limit-ms", "real-path: limit of the p99 at the highest rate",
+       cxxopts::value<std::uint32_t>()->default_value("50"))
       ("help", "print this text");
   // clang-format on
   options.parse_positional({"experiment"});
@@ -88,6 +123,9 @@
     if (parsed.count("experiment") == 0) {
       return Fail(ExitCode::kUsage, "no experiment is named; see --help");
     }
+    if (parsed["experiment"].as<std::string>() == "real-path") {
+      return RunRealPath(parsed);
+    }
     const std::string name = parsed["profile"].as<std::string>();
     const auto profile = crocus::FindProfile(name);
     if (!profile) {
