Test that a suspended request does not expire as not run

Cause: with the check of has_started taken out of the gate, all tests passed. Change: a test of a long request that is suspended beyond its deadline.

--- a/Tests/LibPolicy/gate_test.cc
+++ b/Tests/LibPolicy/gate_test.cc
@@ -271,4 +271,15 @@
   CHECK(this->gate.Finish("s", this->now).start == actions.suspend);
 }
 
+// Guards against a request that is reported as not run although it has run.
+TEST(Gate_FullOfLongRequests, SuspendedRequestDoesNotExpire) {
+  this->now += std::chrono::seconds(2);
+  const GateActions actions = this->gate.Submit(
+      {.attempt = "s", .deadline = this->now + kPatience}, this->now);
+  this->gate.Finish(actions.suspend.front(), this->now);
+  this->now += kPatience;
+  CHECK(this->gate.Tick(this->now).expired.empty());
+  CHECK(this->gate.Finish("s", this->now).start == actions.suspend);
+}
+
 }  // namespace crocus
