Hand partitions over to entries that start later

Cause: after a rolling restart the entries that ran longest kept every partition.

Change: an owner hands a partition over to the entry that comes first in the order of claims, once that has been heard without a gap for hand_over_after (60 s). It sends no more items, waits up to 30 s for those that run, then releases the partition by a record. One partition is handed over at a time.

Check: the process test fails without the hand-over.

Conclusion: entries share the partitions again after a restart.

--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -50,23 +50,43 @@
       silence_from(now),
       jitter(this->random.Unit()) {}
 
+std::uint32_t PartitionOwner::RankAmong(const std::vector<PeerView>& peers,
+                                        TimePoint now) const {
+  // The order differs between partitions, so that entries share them and
+  // seldom claim the same one.
+  const auto weight = [this](const std::string& name) {
+    return HashBytes(name, this->options.partition + 1);
+  };
+  return static_cast<std::uint32_t>(std::count_if(
+      peers.begin(), peers.end(), [this, now, &weight](const PeerView& peer) {
+        return peer.heard + this->options.heartbeat_timeout > now &&
+               weight(peer.name) > weight(this->options.name);
+      }));
+}
+
+bool PartitionOwner::ShouldHandOver(const std::vector<PeerView>& peers,
+                                    TimePoint now) const {
+  const TimePoint old = now - this->options.hand_over_after;
+  std::vector<PeerView> steady;
+  for (const auto& peer : peers) {
+    if (peer.since <= old) {
+      steady.push_back(peer);
+    }
+  }
+  // One limit after the last attempt keeps a partition with long items from
+  // being paused again and again.
+  return this->is_owner() && !this->is_leaving && this->seen_since <= old &&
+         this->hand_over_limit <= old && this->RankAmong(steady, now) > 0;
+}
+
 TimePoint PartitionOwner::ClaimTime(const PartitionLedger& ledger,
                                     const std::vector<PeerView>& peers,
                                     TimePoint now) const {
   const Duration timeout = this->options.heartbeat_timeout;
-  // Entries that are alive claim in an order that differs between partitions,
-  // so that they share them and seldom claim the same one.
-  const auto weight = [this](const std::string& name) {
-    return HashBytes(name, this->options.partition + 1);
-  };
-  std::uint32_t rank = 0;
+  const std::uint32_t rank = this->RankAmong(peers, now);
   const PeerView* owner = nullptr;
   bool has_restarted = ledger.owner() == this->options.name;
   for (const auto& peer : peers) {
-    if (peer.heard + timeout > now &&
-        weight(peer.name) > weight(this->options.name)) {
-      ++rank;
-    }
     if (peer.name == ledger.owner()) {
       if (peer.incarnation == ledger.owner_incarnation()) {
         owner = &peer;
@@ -366,7 +386,7 @@
     std::vector<ReplicaRoom>& rooms,
     TimePoint now) {
   std::vector<ItemDispatch> sent;
-  if (!this->is_owner() || this->is_leaving ||
+  if (!this->is_owner() || this->is_leaving || now < this->hand_over_limit ||
       this->offer_bytes > this->options.held_bytes) {
     return sent;
   }
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -26,6 +26,8 @@
   std::uint64_t incarnation = 0;
   /// When its last heartbeat arrived.
   TimePoint heard;
+  /// Since when it has been heard without a gap of the timeout.
+  TimePoint since{};
 
   bool operator==(const PeerView&) const = default;
 };
@@ -121,6 +123,9 @@
   std::uint64_t incarnation = 0;
   /// Silence after which the owner is taken for dead.
   Duration heartbeat_timeout = std::chrono::seconds(2);
+  /// How long the entry that would claim the partition first must be heard,
+  /// and this one must own the partition, before it is handed over.
+  Duration hand_over_after = std::chrono::seconds(60);
   /// Failed attempts after which an item runs alone once more; if that fails
   /// too, it is finished with a failure.
   std::uint32_t failure_limit = 3;
@@ -172,6 +177,17 @@
   bool is_owner() const { return this->own_epoch != 0; }
   std::uint64_t owned_epoch() const { return this->own_epoch; }
 
+  /// True if the partition belongs to another entry by the order of claims, so
+  /// that entries which start later get their share.
+  bool ShouldHandOver(const std::vector<PeerView>& peers, TimePoint now) const;
+  /// Sends no more items until the release or `limit`.
+  void StartHandOver(TimePoint limit) { this->hand_over_limit = limit; }
+  /// True if nothing runs any more and the release can be written.
+  bool IsHandOverDue(TimePoint now) const {
+    return this->is_owner() && now < this->hand_over_limit &&
+           this->is_drained();
+  }
+
   /// Chooses items for `rooms`, which it reduces.
   std::vector<ItemDispatch> Dispatch(const PartitionLedger& ledger,
                                      std::vector<ReplicaRoom>& rooms,
@@ -233,6 +249,9 @@
     std::optional<TimePoint> alone_since;
   };
 
+  /// Place in the order of claims among the entries that are alive; 0 is first.
+  std::uint32_t RankAmong(const std::vector<PeerView>& peers,
+                          TimePoint now) const;
   TimePoint ClaimTime(const PartitionLedger& ledger,
                       const std::vector<PeerView>& peers,
                       TimePoint now) const;
@@ -270,6 +289,7 @@
 
   std::uint64_t own_epoch = 0;
   bool is_leaving = false;
+  TimePoint hand_over_limit{};
   bool has_reached_end = false;
   /// What the checks after a replay saw last; without a change they are left
   /// out, because they look at every item that runs.
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -61,6 +61,9 @@
   reader.Read("batch", "commit_bytes",
               {.required = false, .minimum = 1024, .maximum = 16777216},
               settings.batch.commit_bytes);
+  reader.Read("batch", "hand_over_after",
+              {.required = false, .minimum = 100, .maximum = 86400000},
+              settings.batch.hand_over_after);
   reader.Read("batch", "result_delay",
               {.required = false, .minimum = 0, .maximum = 60000},
               settings.batch.result_delay);
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -71,6 +71,9 @@
     std::chrono::milliseconds commit_delay{50};
     /// Largest append in bytes.
     std::uint64_t commit_bytes{524288};
+    /// How long an entry that started later must be heard before it is handed
+    /// its share of the partitions.
+    std::chrono::milliseconds hand_over_after{60000};
     /// Longest time results wait to share a record. The log takes several
     /// hundred appends/s, so more partitions need a longer delay.
     std::chrono::milliseconds result_delay{250};
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds kLongestRound{50};
 constexpr std::chrono::seconds kMaintenanceInterval{1};
 constexpr std::chrono::seconds kMarkInterval{60};
+/// Longest time a partition that is handed over waits for its running items.
+constexpr std::chrono::seconds kHandOverLimit{30};
 /// Longest time a stop waits for running items.
 constexpr std::chrono::seconds kDrainLimit{5};
 constexpr std::chrono::seconds kStopWriteLimit{3};
@@ -42,6 +44,7 @@
           .name = settings.host.name,
           .incarnation = incarnation,
           .heartbeat_timeout = settings.batch.heartbeat_timeout,
+          .hand_over_after = settings.batch.hand_over_after,
           .failure_limit = settings.batch.failure_limit,
           .output_bytes = settings.batch.commit_bytes / 2,
           .output_interval = settings.batch.result_delay};
@@ -521,6 +524,7 @@
     }
   }
   this->Claim(partition, now);
+  this->HandOver(partition, now);
   this->Dispatch(partition);
   this->WriteOutput(partition);
   this->Maintain(partition, now);
@@ -558,6 +562,29 @@
   }
 }
 
+void BatchStore::HandOver(Partition& partition, TimePoint now) {
+  const auto peer_views = this->peers.peers();
+  std::lock_guard lock(partition.mutex);
+  auto until = this->hand_over_until.load();
+  if (until <= now.time_since_epoch().count() &&
+      partition.owner.ShouldHandOver(peer_views, now)) {
+    const TimePoint limit = now + kHandOverLimit;
+    if (this->hand_over_until.compare_exchange_strong(
+            until, limit.time_since_epoch().count())) {
+      partition.owner.StartHandOver(limit);
+    }
+  }
+  const std::uint64_t epoch = partition.owner.owned_epoch();
+  if (partition.owner.IsHandOverDue(now) && partition.released_epoch != epoch &&
+      this->Write(partition, MakeEnvelope(records::Release{.epoch = epoch}))) {
+    partition.released_epoch = epoch;
+    this->hand_over_until = 0;
+    LogEvent(Event::kPartitionReleased,
+             {{"partition", std::to_string(partition.number)},
+              {"epoch", std::to_string(epoch)}});
+  }
+}
+
 std::vector<ReplicaRoom> BatchStore::MakeRooms() const {
   std::set<std::string> reserved;
   for (const auto& attempt : this->rooms.alone) {
--- a/Services/Entry/batch_store.h
+++ b/Services/Entry/batch_store.h
@@ -101,6 +101,8 @@
     std::uint64_t reads_done = 0;
     bool is_log_available = true;
     std::optional<std::uint64_t> claim_token;
+    /// Epoch whose release was written.
+    std::uint64_t released_epoch = 0;
     /// Bytes applied since the last snapshot, and that snapshot's size.
     std::uint64_t bytes_since_snapshot = 0;
     std::uint64_t snapshot_bytes = 0;
@@ -141,6 +143,9 @@
   void Read(Partition& partition);
   void Tick(Partition& partition);
   void Claim(Partition& partition, TimePoint now);
+  /// Starts and ends the handing over of a partition to an entry that started
+  /// later; one partition at a time.
+  void HandOver(Partition& partition, TimePoint now);
   void Dispatch(Partition& partition);
   void SendItem(Partition& partition,
                 const ItemDispatch& dispatch,
@@ -167,6 +172,8 @@
   std::vector<std::unique_ptr<Partition>> partitions;
   std::vector<std::unique_ptr<Follower>> followers;
   std::atomic<bool> is_stopping = false;
+  /// Until when a partition is being handed over, as ticks of TimePoint.
+  std::atomic<TimePoint::rep> hand_over_until = 0;
 
   /// Guards `rooms`. Taken before the Fleet's lock.
   mutable std::mutex rooms_mutex;
--- a/Services/Entry/peer_link.cc
+++ b/Services/Entry/peer_link.cc
@@ -104,14 +104,19 @@
     this->known.erase(heartbeat.name);
     return;
   }
-  this->known[heartbeat.name] = {
-      .view = {.name = heartbeat.name,
+  const TimePoint now = MonotonicNow();
+  Peer& peer = this->known[heartbeat.name];
+  const bool is_steady =
+      peer.view.incarnation == heartbeat.incarnation &&
+      now < peer.view.heard + this->settings.batch.heartbeat_timeout;
+  peer.view = {.name = heartbeat.name,
                .incarnation = heartbeat.incarnation,
-               .heard = MonotonicNow()},
-      .address = (from_address.find(':') == std::string::npos
-                      ? from_address
-                      : "[" + from_address + "]") +
-                 ":" + std::to_string(heartbeat.internal_port)};
+               .heard = now,
+               .since = is_steady ? peer.view.since : now};
+  peer.address =
+      (from_address.find(':') == std::string::npos ? from_address
+                                                   : "[" + from_address + "]") +
+      ":" + std::to_string(heartbeat.internal_port);
 }
 
 void PeerLink::SendHeartbeats() {
--- a/Tests/LibLedger/partition_owner_test.cc
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -500,6 +500,35 @@
   }
 }
 
+// Guards against an entry that gives a partition up to one that has only just
+// appeared, or never to one that has the better claim.
+TEST(PartitionOwner_TwoEntries, PartitionIsHandedToTheSteadyFirstInOrder) {
+  this->StepFor(std::chrono::seconds(1));
+  auto& owner = *this->simulation.nodes[this->OwnerName()].owner;
+  auto& other =
+      *this->simulation.nodes[this->OwnerName() == "n0" ? "n1" : "n0"].owner;
+  const auto now = this->simulation.now + std::chrono::minutes(5);
+  const auto should = [&now](const PartitionOwner& from, Duration known) {
+    std::vector<PeerView> peers;
+    for (int i = 0; i < 200; ++i) {
+      peers.push_back({.name = "peer-" + std::to_string(i),
+                       .heard = now,
+                       .since = now - known});
+    }
+    return from.ShouldHandOver(peers, now);
+  };
+  CHECK(should(owner, std::chrono::seconds(61)));
+  CHECK_FALSE(should(owner, std::chrono::seconds(59)));
+  CHECK_FALSE(should(other, std::chrono::seconds(61)));
+  owner.StartHandOver(now);
+  CHECK_FALSE(should(owner, std::chrono::seconds(61)));
+  std::vector<ReplicaRoom> rooms = this->simulation.Rooms();
+  CHECK(owner
+            .Dispatch(this->simulation.Truth(), rooms,
+                      now - std::chrono::seconds(1))
+            .empty());
+}
+
 // Guards against a cancelled batch whose items go on running.
 TEST(PartitionOwner_TwoEntries, CancelRevokesRunningItems) {
   const auto running = [this] {
--- a/Tests/Processes/batch_takeover_test.cc
+++ b/Tests/Processes/batch_takeover_test.cc
@@ -108,7 +108,11 @@
 
   /// Replays the stream of a job's partition as any reader does.
   PartitionLedger Replay(const std::string& id) {
-    const auto stream = PartitionStream(PartitionOf(id, 2));
+    return this->Replay(PartitionOf(id, 2));
+  }
+
+  PartitionLedger Replay(std::uint32_t partition) {
+    const auto stream = PartitionStream(partition);
     PartitionLedger ledger;
     HttpLogClient log(this->log_url);
     while (true) {
@@ -303,6 +307,41 @@
   CheckResults(url, id, kItems);
 }
 
+// Guards against an entry that starts later and never gets its share, and
+// against items that a hand-over loses.
+TEST(BatchTakeover_TwoEntries, LaterEntryGetsItsShareOfLivePartitions) {
+  constexpr int kItems = 800;
+  constexpr std::uint32_t kPartitions = 8;
+  this->extra =
+      "[batch]\npartitions = 8\nheartbeat_timeout = 500ms\n"
+      "hand_over_after = 1s\n";
+  this->StartEntries(1);
+  const auto owned_by = [this](const std::string& name) {
+    std::uint32_t count = 0;
+    for (std::uint32_t i = 0; i < kPartitions; ++i) {
+      count += this->Replay(i).owner() == name ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(WaitUntil([&] { return owned_by("entry-1") == kPartitions; }));
+  std::vector<std::string> ids;
+  for (int i = 0; i < 4; ++i) {
+    ids.push_back(this->Submit(this->urls[0], BatchBody(kItems / 4),
+                               "key-" + std::to_string(i)));
+  }
+  const std::string second = this->fleet.StartEntry(
+      "entry-2", this->log_url, {this->daemon},
+      "entries = 127.0.0.1:" +
+          std::to_string(this->fleet.Port("entry-1", "internal")) + "\n" +
+          this->extra);
+  CHECK(WaitUntil([&] { return owned_by("entry-2") > 0; }));
+  for (const auto& id : ids) {
+    CHECK(WaitUntil([&] { return HasState(second, id, "finished"); }));
+    CheckResults(second, id, kItems / 4);
+  }
+  CHECK(owned_by("entry-1") > 0);
+}
+
 // Guards against a graceful stop that makes the others wait for the timeout.
 TEST(BatchTakeover_TwoEntries, StoppedOwnerReleasesItsPartitions) {
   constexpr int kItems = 150;
