Return ejected replicas by the streams they still run

A hedge, which leaves out the first replica, made the detector forget that replica's ejection. A slow replica returned after two good first tokens in the middle of a slow spell. Spill-over was smoothed over 2 s and came when bursts were over.

Change: a replica that is missing from one evaluation keeps its state. A return needs 8 good times in succession (a first token counts as 4, a bad time starts again), and the streams that still run count. A probe follows only after 1 s without evidence. Spill-over is smoothed over 0.5 s.

--- a/Libraries/LibPolicy/outlier_detector.cc
+++ b/Libraries/LibPolicy/outlier_detector.cc
@@ -27,19 +27,19 @@
   Observation& observation = this->observations[replica];
   this->Add(observation.first_token, time, now);
   observation.failures = 0;
-  this->JudgeProbe(replica,
-                   ToSeconds(time) <= this->options.return_factor *
-                                          this->last_medians.first_token);
+  const bool is_good = ToSeconds(time) <= this->options.return_factor *
+                                              this->last_medians.first_token;
+  this->AddEvidence(replica, is_good ? this->options.first_token_evidence : 0,
+                    now);
 }
 
 void OutlierDetector::OnToken(const std::string& replica,
                               Duration time,
                               TimePoint now) {
   this->Add(this->observations[replica].token, time, now);
-  if (ToSeconds(time) >
-      this->options.return_factor * this->last_medians.token) {
-    this->JudgeProbe(replica, false);
-  }
+  const bool is_good =
+      ToSeconds(time) <= this->options.return_factor * this->last_medians.token;
+  this->AddEvidence(replica, is_good ? 1 : 0, now);
 }
 
 void OutlierDetector::OnWaiting(const std::string& replica,
@@ -59,49 +59,50 @@
   }
   ++observation.failures;
   observation.failed = now;
-  this->JudgeProbe(replica, false);
+  this->AddEvidence(replica, 0, now);
 }
 
-const std::set<std::string>& OutlierDetector::Evaluate(
+std::set<std::string> OutlierDetector::Evaluate(
     const std::vector<std::string>& replicas,
     double ejected_share,
     TimePoint now) {
   this->last_medians = this->MediansOf(replicas, now);
-  const std::set<std::string> present(replicas.begin(), replicas.end());
-  std::erase_if(this->observations, [&present](const auto& item) {
-    return !present.contains(item.first);
-  });
-  std::erase_if(this->ejected_names, [&present](const std::string& name) {
-    return !present.contains(name);
-  });
+  this->present = {replicas.begin(), replicas.end()};
+  this->ForgetMissing(now);
   const auto limit = static_cast<std::size_t>(
-      std::max(0.0, ejected_share) * static_cast<double>(present.size()));
+      std::max(0.0, ejected_share) * static_cast<double>(this->present.size()));
+  std::set<std::string> ejected;
   std::vector<std::pair<double, std::string>> slow;
-  for (const auto& [name, observation] : this->observations) {
-    const double score = this->Score(observation, this->last_medians, now);
-    if (score > 1 && !this->ejected_names.contains(name)) {
+  for (const auto& name : this->present) {
+    const double score =
+        this->Score(this->observations[name], this->last_medians, now);
+    if (this->ejected_names.contains(name)) {
+      ejected.insert(name);
+    } else if (score > 1) {
       slow.emplace_back(score, name);
     }
   }
+  while (ejected.size() > limit) {
+    this->ejected_names.erase(*ejected.begin());
+    ejected.erase(ejected.begin());
+  }
   std::sort(slow.rbegin(), slow.rend());
   for (const auto& [score, name] : slow) {
-    if (this->ejected_names.size() >= limit) {
+    if (ejected.size() >= limit) {
       break;
     }
+    ejected.insert(name);
     this->ejected_names.insert(name);
-    this->observations[name].good_probes = 0;
+    this->observations[name].evidence = 0;
     this->observations[name].next_probe = now + this->options.probe_interval;
   }
-  while (this->ejected_names.size() > limit) {
-    this->ejected_names.erase(this->ejected_names.begin());
-  }
-  return this->ejected_names;
+  return ejected;
 }
 
 std::optional<std::string> OutlierDetector::TakeProbe(TimePoint now) {
   for (const auto& name : this->ejected_names) {
     Observation& observation = this->observations[name];
-    if (now >= observation.next_probe) {
+    if (this->present.contains(name) && now >= observation.next_probe) {
       observation.next_probe = now + this->options.probe_interval;
       return name;
     }
@@ -163,15 +164,30 @@
   return score;
 }
 
-void OutlierDetector::JudgeProbe(const std::string& replica, bool is_good) {
+void OutlierDetector::ForgetMissing(TimePoint now) {
+  for (const auto& name : this->present) {
+    this->observations[name].seen = now;
+  }
+  std::erase_if(this->observations, [this, now](const auto& item) {
+    return now - item.second.seen > this->options.memory;
+  });
+  std::erase_if(this->ejected_names, [this](const std::string& name) {
+    return !this->observations.contains(name);
+  });
+}
+
+void OutlierDetector::AddEvidence(const std::string& replica,
+                                  std::uint32_t weight,
+                                  TimePoint now) {
   if (!this->ejected_names.contains(replica)) {
     return;
   }
   Observation& observation = this->observations[replica];
-  observation.good_probes = is_good ? observation.good_probes + 1 : 0;
-  if (observation.good_probes >= this->options.good_probes_before_return) {
+  observation.evidence = weight == 0 ? 0 : observation.evidence + weight;
+  observation.next_probe = now + this->options.probe_interval;
+  if (observation.evidence >= this->options.evidence_before_return) {
     // The old means would eject it again at once.
-    observation = {};
+    observation = {.seen = observation.seen};
     this->ejected_names.erase(replica);
   }
 }
--- a/Libraries/LibPolicy/outlier_detector.h
+++ b/Libraries/LibPolicy/outlier_detector.h
@@ -17,14 +17,20 @@
   /// of its peers. Below 2, differences in load are taken for slowness.
   double first_token_factor = 2.5;
   double token_factor = 2;
-  /// A probe counts as good below this multiple.
+  /// A time is evidence of recovery below this multiple.
   double return_factor = 1.5;
   std::uint32_t samples_before_ejection = 3;
   std::uint32_t failures_before_ejection = 3;
-  std::uint32_t good_probes_before_return = 2;
+  /// Good times in succession before an ejected replica returns. The streams
+  /// that still run on it count as well as probes do; a first token counts as
+  /// several.
+  std::uint32_t evidence_before_return = 8;
+  std::uint32_t first_token_evidence = 4;
   /// Weight of the newest time in the running mean.
   double newest_weight = 0.3;
-  Duration probe_interval = std::chrono::milliseconds(250);
+  /// A replica is probed if it gave no evidence for this long. Each probe may
+  /// be a slow request.
+  Duration probe_interval = std::chrono::seconds(1);
   /// Older observations say nothing about a replica.
   Duration memory = std::chrono::seconds(10);
 
@@ -45,15 +51,15 @@
   void OnWaiting(const std::string& replica, Duration waited, TimePoint now);
   void OnFailure(const std::string& replica, TimePoint now);
 
-  /// Replicas that get no requests except probes: never more than
-  /// `ejected_share` of `replicas`, rounded down.
-  const std::set<std::string>& Evaluate(
-      const std::vector<std::string>& replicas,
-      double ejected_share,
-      TimePoint now);
+  /// Those of `replicas` that get no requests except probes: never more than
+  /// `ejected_share` of them, rounded down. A replica that is missing once, for
+  /// example because it does not serve the request's model, keeps its state.
+  std::set<std::string> Evaluate(const std::vector<std::string>& replicas,
+                                 double ejected_share,
+                                 TimePoint now);
 
-  /// An ejected replica that is due for a probe; the next one is due after
-  /// the interval.
+  /// An ejected replica of the last evaluation that is due for a probe; the
+  /// next one is due after the interval.
   std::optional<std::string> TakeProbe(TimePoint now);
 
   const std::set<std::string>& ejected() const { return this->ejected_names; }
@@ -69,8 +75,10 @@
     Mean token;
     std::uint32_t failures = 0;
     TimePoint failed{};
-    std::uint32_t good_probes = 0;
+    std::uint32_t evidence = 0;
     TimePoint next_probe{};
+    /// When it was last among the evaluated replicas.
+    TimePoint seen{};
   };
   /// Medians over the replicas; 0 if unknown.
   struct Medians {
@@ -86,11 +94,17 @@
   double Score(const Observation& observation,
                const Medians& medians,
                TimePoint now) const;
-  void JudgeProbe(const std::string& replica, bool is_good);
+  void ForgetMissing(TimePoint now);
+  /// Counts good times of an ejected replica; a bad one, with a weight of 0,
+  /// starts the count again.
+  void AddEvidence(const std::string& replica,
+                   std::uint32_t weight,
+                   TimePoint now);
 
   const OutlierDetectorOptions options;
   std::map<std::string, Observation> observations;
   std::set<std::string> ejected_names;
+  std::set<std::string> present;
   Medians last_medians;
 };
 
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -58,8 +58,9 @@
   std::size_t prefix_bytes = 256;
   /// A prefix's replica is used up to this multiple of the mean load.
   double affinity_load_bound = 1.25;
-  /// Time constant over which the gain of another region is smoothed.
-  Duration spill_smoothing = std::chrono::seconds(2);
+  /// Time constant over which the gain of another region is smoothed. Bursts
+  /// last a few seconds; with 2 s the spill-over came when they were over.
+  Duration spill_smoothing = std::chrono::milliseconds(500);
   /// Time in which a region that refused gets its whole share back.
   Duration spill_recovery = std::chrono::seconds(10);
   std::size_t cache_hints = 4096;
