Hedge probes and take offered results over once

Cause: a probe of an ejected replica made its caller wait. Daemons offer held results again until they are confirmed; during an outage of the log each offer would have queued another copy.

Change: a probe goes out only with a hedge from the budget, at once. An offered result that is held or in the log is not written again. The shutdown test's callers look at readiness every 250 ms, and its last result can be written only after an outage that ends during the flush. A new test resends a repeatable request while it runs.

--- a/Services/Entry/online_requests.cc
+++ b/Services/Entry/online_requests.cc
@@ -597,33 +597,42 @@
         !held.done.complete) {
       continue;
     }
+    const auto& id = held.execute.request;
     {
       // A run that still waits for this attempt gets it from the fleet.
       std::lock_guard lock(this->mutex);
-      if (this->running.contains(held.execute.request)) {
+      if (this->running.contains(id)) {
         continue;
       }
     }
-    LogEvent(Event::kResultTakenOver,
-             {{"request", held.execute.request}, {"daemon", daemon}});
+    const auto confirm = [this, daemon, attempt = held.execute.attempt] {
+      this->fleet.Send(daemon, messages::ConfirmResults{.attempts = {attempt}});
+    };
+    // Daemons offer again until they are answered. During an outage of the log
+    // the copies would fill the queue of results.
+    if (this->log.FindHeld(id)) {
+      continue;
+    }
+    if (const auto logged = this->log.Find(id);
+        logged && logged->state == RequestState::kFinished) {
+      confirm();
+      continue;
+    }
+    LogEvent(Event::kResultTakenOver, {{"request", id}, {"daemon", daemon}});
     const OnlineRequest request{.model = held.execute.model,
                                 .prompt = held.execute.prompt,
                                 .max_tokens = held.execute.max_tokens,
                                 .is_repeatable = held.execute.repeatable};
-    this->log.WriteResult(
-        {.request = held.execute.request,
-         .workspace = held.execute.workspace,
-         .verdict = Verdict::kRan,
-         .text = held.text,
-         .token_count = held.done.token_count,
-         .finished_ms = UnixMilliseconds(),
-         .attempt = AttemptStem(held.execute.attempt),
-         .model = held.execute.model,
-         .digest = request.Digest()},
-        [this, daemon, attempt = held.execute.attempt] {
-          this->fleet.Send(daemon,
-                           messages::ConfirmResults{.attempts = {attempt}});
-        });
+    this->log.WriteResult({.request = id,
+                           .workspace = held.execute.workspace,
+                           .verdict = Verdict::kRan,
+                           .text = held.text,
+                           .token_count = held.done.token_count,
+                           .finished_ms = UnixMilliseconds(),
+                           .attempt = AttemptStem(held.execute.attempt),
+                           .model = held.execute.model,
+                           .digest = request.Digest()},
+                          confirm);
   }
 }
 
--- a/Services/Entry/request_run.cc
+++ b/Services/Entry/request_run.cc
@@ -70,7 +70,8 @@
     }
     if (const auto delay = this->services.planner.HedgeDelay(
             this->accepted.model, this->accepted.is_repeatable)) {
-      this->hedge_at = now + *delay;
+      const bool is_probe = this->attempts.back().plan.is_probe;
+      this->hedge_at = is_probe ? now : now + *delay;
     }
     actions.arms_timer = true;
   });
@@ -384,8 +385,11 @@
   }
   const Attempt& first = this->attempts.back();
   this->services.planner.OnWaiting(first.plan, now - first.started, now);
+  // The hedge of a probe was taken from the budget with the probe.
+  const bool is_free = first.plan.is_probe;
   if (this->attempts.size() >= this->services.settings.attempts ||
-      !this->services.planner.TryHedge(this->accepted.model, now)) {
+      !(is_free ||
+        this->services.planner.TryHedge(this->accepted.model, now))) {
     return;
   }
   if (!this->Dispatch(now, actions)) {
--- a/Services/Entry/route_planner.cc
+++ b/Services/Entry/route_planner.cc
@@ -62,8 +62,9 @@
   this->Evaluate(usable, now);
   std::optional<std::size_t> chosen;
   if (may_probe) {
-    chosen = this->TakeProbe(usable, now);
+    chosen = this->TakeProbe(usable, request.model, now);
   }
+  const bool is_probe = chosen.has_value();
   if (!chosen) {
     Views healthy;
     Views others;
@@ -89,7 +90,8 @@
   }
   return RoutePlan{.candidate = usable.candidates[*chosen],
                    .endpoint = usable.views[*chosen].load.endpoint,
-                   .replica = usable.views[*chosen].load.replica};
+                   .replica = usable.views[*chosen].load.replica,
+                   .is_probe = is_probe};
 }
 
 AdmissionLoad RoutePlanner::LoadFor(const std::string& model,
@@ -234,19 +236,22 @@
 }
 
 std::optional<std::size_t> RoutePlanner::TakeProbe(const Views& views,
+                                                   const std::string& model,
                                                    TimePoint now) {
-  std::optional<std::string> probed;
+  std::set<std::string> names;
   for (const auto& view : views.views) {
-    const auto endpoint = this->endpoints.find(view.load.endpoint);
-    if (endpoint != this->endpoints.end() &&
-        !endpoint->second.detector.ejected().empty()) {
-      probed = endpoint->second.detector.TakeProbe(now);
-      break;
-    }
+    names.insert(view.load.endpoint);
   }
-  for (std::size_t i = 0; probed && i < views.candidates.size(); ++i) {
-    if (views.candidates[i].replica == *probed) {
-      return i;
+  for (const auto& name : names) {
+    const auto probed = this->endpoints[name].detector.TakeProbe(now);
+    const auto found =
+        std::find_if(views.candidates.begin(), views.candidates.end(),
+                     [&probed](const auto& candidate) {
+                       return probed && candidate.replica == *probed;
+                     });
+    if (found != views.candidates.end() &&
+        this->hedges[model].TryHedge(this->current_rules->budgets, now)) {
+      return static_cast<std::size_t>(found - views.candidates.begin());
     }
   }
   return std::nullopt;
--- a/Services/Entry/route_planner.h
+++ b/Services/Entry/route_planner.h
@@ -27,6 +27,9 @@
   std::string endpoint;
   /// Name of the replica behind its daemon.
   std::string replica;
+  /// The replica is ejected and only tried. A hedge, already taken from the
+  /// budget, goes out at once, so that the caller does not wait for it.
+  bool is_probe = false;
 
   bool operator==(const RoutePlan&) const = default;
 };
@@ -81,7 +84,9 @@
   Views UsableReplicas(const std::string& model) const;
   void Evaluate(const Views& views, TimePoint now);
   void ReportChanges(const std::string& name, Endpoint& endpoint) const;
-  std::optional<std::size_t> TakeProbe(const Views& views, TimePoint now);
+  std::optional<std::size_t> TakeProbe(const Views& views,
+                                       const std::string& model,
+                                       TimePoint now);
   bool IsEjected(const ReplicaView& view, const std::string& replica) const;
 
   Fleet& fleet;
--- a/Tests/Processes/online_requests_test.cc
+++ b/Tests/Processes/online_requests_test.cc
@@ -259,6 +259,21 @@
   CHECK_EQUAL(1, this->Runs());
 }
 
+// Guards against a second run of a repeatable keyed request that is resent
+// while it runs.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, ResentRepeatableRequestAttaches) {
+  const std::string body = Body("twice", 60);
+  const std::map<std::string, std::string> key = {{"Idempotency-Key", "t-1"}};
+  auto first = this->Post(0, body, key);
+  CHECK(this->WaitForEngine() >= 0);
+  auto second = this->Post(0, body, key);
+  for (auto* reply : {&first, &second}) {
+    STRCMP_EQUAL(ExpectedAnswer("twice", 60).c_str(),
+                 TextOf(reply->get()).c_str());
+  }
+  CHECK_EQUAL(1, this->Runs());
+}
+
 // Guards against a second run after the entry that dispatched a keyed request
 // was killed, and against losing the result that its daemon holds.
 TEST(OnlineRequests_TwoEntriesTwoDaemons, ResultOutlivesAKilledEntry) {
@@ -314,8 +329,8 @@
   }
 }
 
-// Guards against a shutdown that cuts off requests: callers send to the entry
-// for as long as it says that it is ready.
+// Guards against a shutdown that cuts off requests, while callers send to the
+// entry for as long as it says that it is ready, or that loses a result.
 TEST(OnlineRequests_TwoEntriesTwoDaemons, ShutdownUnderLoadCutsOffNoRequest) {
   std::atomic<bool> is_ready = true;
   std::atomic<int> whole = 0;
@@ -335,17 +350,22 @@
   auto long_request = this->Post(0, Body("long", 100));
   std::this_thread::sleep_for(milliseconds(100));
   this->fleet.Signal("entry-1", SIGTERM);
-  WaitUntil([&] {
+  while (is_ready) {
+    // A balancer looks only now and then.
+    std::this_thread::sleep_for(milliseconds(250));
     is_ready = Call("GET", this->entries[0] + "/readyz").status == 200;
-    return !is_ready;
-  });
+  }
   for (auto& caller : callers) {
     caller.join();
   }
   CHECK_EQUAL(0, failed.load());
   CHECK(whole.load() > 12);
+  // The last result can only be written while the entry flushes.
+  this->SetOutage(true);
   const auto reply = long_request.get();
   STRCMP_EQUAL(ExpectedAnswer("long", 100).c_str(), TextOf(reply).c_str());
+  std::this_thread::sleep_for(milliseconds(500));
+  this->SetOutage(false);
   CHECK_EQUAL(0, this->fleet.Wait("entry-1", std::chrono::seconds(10)));
   const auto stored = CallJson(
       "GET", this->entries[1] + "/v1/results/" + reply.value("id", ""));
