Give each replica its own cancel and order threads; steady cost test

Cause: eight threads sent the cancels of all replicas, and two the orders. A replica that does not answer held them for the 5 s of the timeout, so one slow replica delayed the cancels and orders of the others.

Change: four cancel threads and one order thread for each replica; weight requests have threads of their own. The cost test feeds random items.

--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -13,9 +13,10 @@
 
 namespace {
 
-/// Threads that send cancel requests. An online burst suspends a batch stream
-/// for each of its requests, and the last cancel must leave within 5 ms.
-constexpr std::size_t kCancelThreads = 8;
+/// Threads of each replica that send cancel requests. An online burst suspends
+/// a batch stream for each of its requests, and the last cancel must leave
+/// within 5 ms; a replica that does not answer must not delay the others.
+constexpr std::size_t kCancelThreads = 4;
 
 /// A cancel that reached the engine before its stream did is sent again.
 constexpr std::chrono::milliseconds kFirstCancelRetry{5};
@@ -58,7 +59,6 @@
       workers(this->settings.endpoint.replicas.size() *
                   this->settings.endpoint.slots +
               1),
-      cancellers(kCancelThreads),
       orders(this->io.context(),
              this->settings.endpoint.replicas,
              this->settings.platform.weights_url,
@@ -72,6 +72,7 @@
              }) {
   for (const auto& url : this->settings.endpoint.replicas) {
     this->clients.try_emplace(url, url);
+    this->cancellers.try_emplace(url, kCancelThreads);
   }
 }
 
@@ -340,8 +341,9 @@
                      retry_delay](boost::system::error_code error) {
     if (!error) {
       const auto next = std::min(retry_delay * 2, kLongestCancelRetry);
-      this->cancellers.Submit(
-          [this, run, decided, next] { this->Cancel(run, decided, next); });
+      this->cancellers.at(run.replica).Submit([this, run, decided, next] {
+        this->Cancel(run, decided, next);
+      });
     }
   });
 }
@@ -349,8 +351,9 @@
 void Daemon::Perform(const DaemonActions& actions) {
   const TimePoint now = MonotonicNow();
   for (const auto& run : actions.cancels) {
-    this->cancellers.Submit(
-        [this, run, now] { this->Cancel(run, now, kFirstCancelRetry); });
+    this->cancellers.at(run.replica).Submit([this, run, now] {
+      this->Cancel(run, now, kFirstCancelRetry);
+    });
   }
   for (const auto& run : actions.starts) {
     this->workers.Submit([this, run] { this->Run(run); });
--- a/Services/Daemon/daemon.h
+++ b/Services/Daemon/daemon.h
@@ -90,7 +90,7 @@
   /// When the timer fires.
   TimePoint armed = TimePoint::max();
   WorkerPool workers;
-  WorkerPool cancellers;
+  std::map<std::string, WorkerPool> cancellers;
   OrderRunner orders;
   std::unique_ptr<HostListPoller> hosts;
   std::shared_ptr<FrameServer> server;
--- a/Services/Daemon/order_runner.cc
+++ b/Services/Daemon/order_runner.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::size_t kOrderThreads = 2;
+constexpr std::size_t kWeightThreads = 2;
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
 constexpr std::chrono::seconds kWeightsTimeout{5};
@@ -71,9 +71,9 @@
       weights_url(std::move(weights_url)),
       on_delivered(std::move(on_delivered)),
       fence(replicas),
-      workers(kOrderThreads) {
+      weight_workers(kWeightThreads) {
   for (const auto& replica : replicas) {
-    this->deliveries.try_emplace(replica);
+    this->deliveries.try_emplace(replica, 1);
   }
 }
 
@@ -104,10 +104,17 @@
     this->latest[{order.replica, order.action}] = order.fencing;
   }
   LogOrder(Event::kOrderAccepted, order);
-  this->workers.Submit(
-      [this, task = Task{.order = order, .reply = std::move(reply)}] {
-        this->Run(task);
-      });
+  this->SubmitRun({.order = order, .reply = std::move(reply)});
+}
+
+void OrderRunner::SubmitRun(const Task& task) {
+  if (IsLoad(task.order) && !this->weights_url.empty()) {
+    this->weight_workers.Submit([this, task] { this->Run(task); });
+  } else {
+    this->deliveries.at(task.order.replica).Submit([this, task] {
+      this->Deliver(task);
+    });
+  }
 }
 
 void OrderRunner::Run(const Task& task) {
@@ -115,13 +122,13 @@
     Refuse(task.order, "superseded", task.reply);
     return;
   }
-  if (IsLoad(task.order) && !this->weights_url.empty()) {
-    if (const auto wait = this->AskForWeights(task.order); wait.count() > 0) {
-      this->RunLater(task, wait);
-      return;
-    }
+  if (const auto wait = this->AskForWeights(task.order); wait.count() > 0) {
+    this->RunLater(task, wait);
+    return;
   }
-  this->Deliver(task);
+  this->deliveries.at(task.order.replica).Submit([this, task] {
+    this->Deliver(task);
+  });
 }
 
 std::chrono::milliseconds OrderRunner::AskForWeights(
@@ -146,7 +153,7 @@
       std::make_shared<boost::asio::steady_timer>(this->context, wait);
   timer->async_wait([this, timer, task](boost::system::error_code error) {
     if (!error) {
-      this->workers.Submit([this, task] { this->Run(task); });
+      this->SubmitRun(task);
     }
   });
 }
@@ -157,7 +164,6 @@
 }
 
 void OrderRunner::Deliver(const Task& task) {
-  std::lock_guard turn(this->deliveries.at(task.order.replica));
   std::uint64_t fencing = 0;
   {
     // An order that waited for weights carries the newest accepted number:
--- a/Services/Daemon/order_runner.h
+++ b/Services/Daemon/order_runner.h
@@ -43,7 +43,9 @@
     Reply reply;
   };
 
+  /// Passes the order on once its weights may be loaded.
   void Run(const Task& task);
+  void SubmitRun(const Task& task);
   /// Asks for the weights of a load order. Returns 0 if they may be loaded,
   /// else the time to wait.
   std::chrono::milliseconds AskForWeights(const messages::EngineOrder& order);
@@ -59,10 +61,11 @@
   OrderFence fence;
   /// Highest accepted number for each replica and action.
   std::map<std::pair<std::string, std::string>, std::uint64_t> latest;
-  /// Orders to one replica reach it in turn, so that a lower number never
-  /// follows a higher one; a leaf lock for each replica.
-  std::map<std::string, std::mutex> deliveries;
-  WorkerPool workers;
+  WorkerPool weight_workers;
+  /// One thread for each replica: its orders reach it in turn, so that a lower
+  /// number never follows a higher one, and a replica that does not answer
+  /// holds up no other.
+  std::map<std::string, WorkerPool> deliveries;
 };
 
 }  // namespace crocus
--- a/Tests/Processes/daemon_cost_test.cc
+++ b/Tests/Processes/daemon_cost_test.cc
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "LibCore/random.h"
 #include "daemon_client.h"
 #include "process_fleet.h"
 
@@ -20,9 +21,9 @@
 
 constexpr std::chrono::milliseconds kMeasuredTime{2000};
 
-/// At 8 replicas some 800 items a second: they keep about half of the slots
-/// busy, so that the load figures change all the time.
-constexpr std::chrono::milliseconds kFeedInterval{10};
+/// At 8 replicas the items keep about half of the slots busy, so that the load
+/// figures change all the time.
+constexpr std::chrono::milliseconds kFeedInterval{1};
 
 /// Default of report_bytes_per_second, and the share by which a measurement of
 /// two seconds may exceed it.
@@ -54,22 +55,18 @@
     }
   }
 
-  /// Sends `per_replica` batch items of two tokens to each replica.
-  void SendBatch(int per_replica) {
-    for (const auto& replica : this->replicas) {
-      for (int i = 0; i < per_replica; ++i) {
-        const std::string id = "b" + std::to_string(this->sent++);
-        this->clients[0]->Send(
-            messages::Execute{.attempt = id,
-                              .request = id,
-                              .kind = messages::WorkKind::kBatch,
-                              .replica = replica,
-                              .model = "proof",
-                              .prompt = "p",
-                              .max_tokens = 2,
-                              .repeatable = true});
-      }
-    }
+  /// Sends a batch item of 1 to 4 tokens to a random replica.
+  void SendItem() {
+    const std::string id = "b" + std::to_string(this->sent++);
+    this->clients[0]->Send(messages::Execute{
+        .attempt = id,
+        .request = id,
+        .kind = messages::WorkKind::kBatch,
+        .replica = this->replicas[this->random.Below(this->replicas.size())],
+        .model = "proof",
+        .prompt = "p",
+        .max_tokens = static_cast<std::uint32_t>(1 + this->random.Below(4)),
+        .repeatable = true});
   }
 
   /// Reports reach every entry; results go only to the first. So the last
@@ -80,7 +77,7 @@
     const auto end = std::chrono::steady_clock::now() + kMeasuredTime;
     while (std::chrono::steady_clock::now() < end) {
       if (with_work) {
-        this->SendBatch(1);
+        this->SendItem();
       }
       std::this_thread::sleep_for(kFeedInterval);
     }
@@ -100,6 +97,7 @@
   ProcessFleet fleet;
   std::vector<std::string> replicas;
   std::vector<std::unique_ptr<DaemonClient>> clients;
+  Random random{20261204};
   int sent = 0;
 };
 
