Keep the test client's messages by type and key

Cause: one map and one accessor for each message type made the client longer than the tests that use it.

Change: the client keeps the newest body of each type and key.

Conclusion: no test changed what it checks.

--- a/Tests/Processes/daemon_client.h
+++ b/Tests/Processes/daemon_client.h
@@ -8,13 +8,15 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "LibNetwork/frame_client.h"
 #include "LibNetwork/io_thread.h"
 
 namespace crocus {
 
-/// Speaks to a daemon like an entry. Thread-safe.
+/// Speaks to a daemon like an entry and keeps the newest message of each type
+/// and key. Thread-safe.
 class DaemonClient {
  public:
   explicit DaemonClient(const std::string& address);
@@ -22,22 +24,39 @@
   DaemonClient(const DaemonClient&) = delete;
   DaemonClient& operator=(const DaemonClient&) = delete;
 
-  /// Sends a message once the connection is open.
   template <typename Message>
   bool Send(const Message& message, std::uint64_t correlation = 0) {
     return this->client->Send(MakeFrame(message, correlation)).has_value();
   }
 
-  bool has_report() const;
-  bool is_leaving() const;
-  std::uint64_t incarnation() const;
-  std::optional<messages::AttemptDone> FindDone(const std::string& id) const;
-  /// The newest offer of an attempt's result.
-  std::optional<messages::HeldResult> FindOffer(const std::string& id) const;
-  std::optional<Verdict> FindRevoke(const std::string& id) const;
-  std::optional<messages::EngineOrderReply> FindOrderReply(
-      std::uint64_t correlation) const;
-  std::size_t done_count() const;
+  /// The key is the attempt, the correlation id of an order, or empty.
+  template <typename Message>
+  std::optional<Message> Find(const std::string& key = "") const {
+    std::lock_guard lock(this->mutex);
+    const auto found = this->newest.find({Message::kType, key});
+    if (found == this->newest.end()) {
+      return std::nullopt;
+    }
+    return *Decode<Message>(found->second);
+  }
+
+  auto FindDone(const std::string& id) const {
+    return this->Find<messages::AttemptDone>(id);
+  }
+  /// An offer of this attempt's result alone.
+  auto FindOffer(const std::string& id) const {
+    return this->Find<messages::OfferResults>(id);
+  }
+  auto FindRevoke(const std::string& id) const {
+    return this->Find<messages::RevokeReply>(id);
+  }
+  auto FindOrderReply(std::uint64_t correlation) const {
+    return this->Find<messages::EngineOrderReply>(std::to_string(correlation));
+  }
+  bool is_leaving() const {
+    const auto change = this->Find<messages::LoadChange>();
+    return change && change->leaving;
+  }
   std::uint64_t received_bytes() const { return this->bytes; }
 
  private:
@@ -46,13 +65,7 @@
   IoThread io;
   std::atomic<std::uint64_t> bytes = 0;
   mutable std::mutex mutex;
-  messages::Hello hello;
-  bool is_reported = false;
-  bool leaving = false;
-  std::map<std::string, messages::AttemptDone> dones;
-  std::map<std::string, messages::HeldResult> offers;
-  std::map<std::string, Verdict> revokes;
-  std::map<std::uint64_t, messages::EngineOrderReply> order_replies;
+  std::map<std::pair<messages::MessageType, std::string>, std::string> newest;
   std::shared_ptr<FrameClient> client;
 };
 
--- a/Tests/Processes/daemon_cost_test.cc
+++ b/Tests/Processes/daemon_cost_test.cc
@@ -51,7 +51,9 @@
         this->fleet.StartDaemon("daemon", this->replicas);
     for (int i = 0; i < entries; ++i) {
       this->clients.push_back(std::make_unique<DaemonClient>(address));
-      CHECK(WaitUntil([this] { return this->clients.back()->has_report(); }));
+      CHECK(WaitUntil([this] {
+        return this->clients.back()->Find<messages::LoadReport>().has_value();
+      }));
     }
   }
 
--- a/Tests/Processes/daemon_test.cc
+++ b/Tests/Processes/daemon_test.cc
@@ -38,7 +38,8 @@
 
 std::unique_ptr<DaemonClient> Connect(const std::string& address) {
   auto client = std::make_unique<DaemonClient>(address);
-  CHECK(WaitUntil([&client] { return client->has_report(); }));
+  CHECK(WaitUntil(
+      [&client] { return client->Find<messages::LoadReport>().has_value(); }));
   return client;
 }
 
@@ -109,7 +110,7 @@
   CHECK(WaitUntil([this] { return this->client->FindOffer("a").has_value(); }));
   CHECK_EQUAL(1, RunsOf(this->engine_url, "a"));
   CHECK_EQUAL(0, RunsOf(this->engine_url, "late"));
-  CHECK(this->client->FindRevoke("late") == Verdict::kNotRun);
+  CHECK(this->client->FindRevoke("late")->verdict == Verdict::kNotRun);
   CHECK(this->client->FindDone("late")->verdict == Verdict::kNotRun);
 }
 
@@ -130,7 +131,7 @@
   CHECK(WaitUntil([&] {
     return this->client->FindOffer("kept") && second->FindOffer("kept");
   }));
-  CHECK(this->client->FindOffer("kept")->done.complete);
+  CHECK(this->client->FindOffer("kept")->results[0].done.complete);
   // The slot of the repeatable request was freed long before its 20 s.
   CHECK(WaitUntil(
       [this] {
@@ -178,19 +179,25 @@
 TEST(Daemon_OneEngine, DrainDuringABurstFinishesWhatWasTaken) {
   this->Start({"--token-us", "2000"}, "[timing]\ndrain_limit = 20000\n");
   constexpr int kRequests = 60;
+  const auto done_count = [this] {
+    int count = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      count += this->client->FindDone("a" + std::to_string(i)) ? 1 : 0;
+    }
+    return count;
+  };
   for (int i = 0; i < kRequests; ++i) {
     this->client->Send(
         MakeExecute("a" + std::to_string(i), WorkKind::kOnline, 20));
     if (i == kRequests / 2) {
       this->client->Send(MakeExecute("b", WorkKind::kBatch, 20));
-      CHECK(WaitUntil([this] { return this->client->done_count() > 0; }));
+      CHECK(WaitUntil([&] { return done_count() > 0; }));
       this->fleet.Signal("daemon", SIGTERM);
     }
   }
   CHECK(WaitUntil([this] { return this->client->is_leaving(); }));
-  CHECK(WaitUntil([this] {
-    return this->client->done_count() == kRequests &&
-           this->client->FindOffer("b");
+  CHECK(WaitUntil([&] {
+    return done_count() == kRequests && this->client->FindOffer("b");
   }));
   int refused = 0;
   for (int i = 0; i < kRequests; ++i) {
@@ -306,7 +313,7 @@
     expected +=
         "t" + std::to_string(HashBytes("prompt of b0", i) % 10000) + " ";
   }
-  STRCMP_EQUAL(expected.c_str(), result.text.c_str());
+  STRCMP_EQUAL(expected.c_str(), result.results[0].text.c_str());
 }
 
 // Guards against a stale order of a paused entry that a restarted daemon takes
@@ -376,7 +383,7 @@
       this->fleet.StartStandin("weights", {"weights", "--interval-ms", "700"});
   this->Start({}, "[platform]\nweights_url = " + weights + "\n");
   this->client->Send(messages::OrderFloor{
-      .incarnation = this->client->incarnation(),
+      .incarnation = this->client->Find<messages::Hello>()->incarnation,
       .floors = {{.replica = this->engine_url, .floor = 5}}});
   const auto send = [this](const std::string& action, std::uint64_t fencing) {
     this->client->Send(messages::EngineOrder{.replica = this->engine_url,
