Test two entries, leaving, and a replica that does not answer

Cause: the random test of the daemon's decisions had one entry and never left service, and nothing showed that the threads of each replica keep it from delaying the others.

Change: the random test sends from two entries and toggles a drain. A process test stops one of two engines and checks that an online request suspends a batch stream of the other within a second; tokens are so slow that only the cancel can free the slot.

--- a/Tests/LibPolicy/daemon_decisions_test.cc
+++ b/Tests/LibPolicy/daemon_decisions_test.cc
@@ -19,6 +19,7 @@
 constexpr std::uint32_t kSlots = 2;
 constexpr char kReplica[] = "r";
 constexpr ConnectionId kEntry = 1;
+constexpr ConnectionId kOtherEntry = 2;
 
 DaemonDecisionsOptions SmallDaemon() {
   return {.endpoint = "e",
@@ -142,6 +143,7 @@
                 (this->was_cut && execute.repeatable));
     }
     this->CheckHeld();
+    this->Apply(this->daemon.SetLeaving(LeavingReason::kDrain, false));
     // Every slot is free again, also for work that leaves a reserve to bursts.
     this->now += std::chrono::hours(1);
     for (std::uint32_t i = 0; i < kSlots; ++i) {
@@ -184,7 +186,8 @@
   /// An entry that connects is offered every result that is not confirmed.
   void CheckHeld() {
     std::set<std::string> offered;
-    for (const auto& outgoing : this->daemon.Connect(kEntry + 1).messages) {
+    for (const auto& outgoing :
+         this->daemon.Connect(kOtherEntry + 1).messages) {
       if (const auto* offer =
               std::get_if<messages::OfferResults>(&outgoing.message)) {
         for (const auto& result : offer->results) {
@@ -233,11 +236,14 @@
   CHECK(rc::check([] {
     Oracle oracle;
     oracle.Apply(oracle.daemon.Connect(kEntry));
+    oracle.Apply(oracle.daemon.Connect(kOtherEntry));
     const auto steps = *rc::gen::inRange(1, 300);
     for (int i = 0; i < steps; ++i) {
       const std::string id = "a" + std::to_string(*rc::gen::inRange(0, 20));
       const auto choice = *rc::gen::inRange<std::size_t>(0, 16);
-      switch (*rc::gen::inRange(0, 12)) {
+      const ConnectionId entry =
+          *rc::gen::inRange(0, 4) == 0 ? kOtherEntry : kEntry;
+      switch (*rc::gen::inRange(0, 13)) {
         case 0:
         case 1:
         case 2: {
@@ -247,11 +253,11 @@
               id, number % 2 == 0 ? WorkKind::kOnline : WorkKind::kBatch,
               number % 4 != 0, number % 5 == 0 ? 5 : 100000);
           oracle.Sent(execute);
-          oracle.Apply(oracle.daemon.Execute(kEntry, execute, oracle.now));
+          oracle.Apply(oracle.daemon.Execute(entry, execute, oracle.now));
           break;
         }
         case 3:
-          oracle.Apply(oracle.daemon.Revoke(kEntry, 7, id, oracle.now));
+          oracle.Apply(oracle.daemon.Revoke(entry, 7, id, oracle.now));
           break;
         case 4:
         case 5:
@@ -267,8 +273,14 @@
         case 8:
           if (choice == 0) {
             oracle.was_cut = true;
-            oracle.Apply(oracle.daemon.Disconnect(kEntry, oracle.now));
-            oracle.Apply(oracle.daemon.Connect(kEntry));
+            oracle.Apply(oracle.daemon.Disconnect(entry, oracle.now));
+            oracle.Apply(oracle.daemon.Connect(entry));
+          }
+          break;
+        case 9:
+          if (choice < 2) {
+            oracle.Apply(
+                oracle.daemon.SetLeaving(LeavingReason::kDrain, choice == 0));
           }
           break;
         default:
--- a/Tests/Processes/daemon_test.cc
+++ b/Tests/Processes/daemon_test.cc
@@ -232,6 +232,41 @@
   CHECK_EQUAL(0, RunsOf(this->engine_url, "impatient"));
 }
 
+// Guards against a replica that does not answer and delays the cancels, and so
+// the online requests, of the other replicas.
+TEST(Daemon_OneEngine, StoppedReplicaDelaysNoOther) {
+  const std::string stopped_url =
+      this->fleet.StartStandin("stopped", {"engine", "--token-us", "3000000"});
+  this->engine_url =
+      this->fleet.StartStandin("engine", {"engine", "--token-us", "3000000"});
+  this->client = Connect(
+      this->fleet.StartDaemon("daemon", {stopped_url, this->engine_url}));
+  constexpr int kSlots = 8;
+  const auto send = [this](const std::string& id, const std::string& replica,
+                           WorkKind kind, std::uint32_t tokens) {
+    auto execute = MakeExecute(id, kind, tokens);
+    execute.replica = replica;
+    this->client->Send(execute);
+  };
+  for (int i = 0; i < kSlots; ++i) {
+    send("s" + std::to_string(i), stopped_url, WorkKind::kBatch, 1000);
+    send("b" + std::to_string(i), this->engine_url, WorkKind::kBatch, 1000);
+  }
+  for (const auto& url : {stopped_url, this->engine_url}) {
+    CHECK(WaitUntil([&url] {
+      return CallJson("GET", url + "/admin/state")["running"] == kSlots;
+    }));
+  }
+  this->fleet.Signal("stopped", SIGSTOP);
+  for (int i = 0; i < kSlots; ++i) {
+    send("w" + std::to_string(i), stopped_url, WorkKind::kOnline, 1);
+  }
+  send("o", this->engine_url, WorkKind::kOnline, 1);
+  // Tokens are too slow to free the slot; only the cancel does.
+  CHECK(WaitUntil([this] { return RunsOf(this->engine_url, "o") == 1; },
+                  std::chrono::seconds(1)));
+}
+
 // Guards against a host list that is ignored, or that ends another reason.
 TEST(Daemon_OneEngine, HostListAddsAReasonToLeave) {
   const std::string hosts =
