Refuse malformed input without stopping the process

Cause, found by reading the decoders: a batch body with a number for "model" and a log page with a text for an offset threw through the C library or a thread and ended the entry; a list announced in a frame took memory for all elements before any was decoded (450 bytes for each byte sent); a header that announced 32 MB took 32 MB at once; settings lines over 198 bytes and lines with a zero byte were cut off without an error, so a list of 420 daemons was not possible; an entry ignored garbage from a daemon and reconnected without backoff to a peer that broke each connection; max_tokens was checked after its conversion to 32 bits; connections to vanished hosts stayed for hours.

--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -23,6 +23,8 @@
       return "peer_rules";
     case Event::kRulesRejected:
       return "rules_rejected";
+    case Event::kHandlerFailed:
+      return "handler_failed";
     case Event::kRequestRefused:
       return "request_refused";
     case Event::kRequestFinished:
@@ -94,6 +96,7 @@
     case Event::kSettingsRejected:
     case Event::kListenFailed:
     case Event::kRulesRejected:
+    case Event::kHandlerFailed:
     case Event::kRulesStateUnknown:
       return Severity::kError;
   }
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -20,6 +20,7 @@
   kConnectionOpened = 106,
   kPeerRules = 107,
   kRulesRejected = 108,
+  kHandlerFailed = 109,
   kRequestRefused = 200,
   kRequestFinished = 201,
   kCallerLeft = 202,
--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstring>
+#include <exception>
 #include <mutex>
 #include <unordered_map>
 #include <utility>
@@ -17,6 +18,7 @@
 #include <ulfius.h>
 
 #include "LibCore/assertions.h"
+#include "LibEvents/event_log.h"
 
 namespace crocus {
 
@@ -145,7 +147,21 @@
     copy.body.assign(static_cast<const char*>(request->binary_body),
                      request->binary_body_length);
   }
-  return route.handler(copy);
+  // An exception must not pass through the C library; it would end the
+  // process for all callers.
+  try {
+    return route.handler(copy);
+  } catch (const std::exception& exception) {
+    LogEvent(Event::kHandlerFailed,
+             {{"path", copy.path}, {"reason", exception.what()}});
+    return {.status = 500,
+            .headers = {{"Content-Type", "application/json"}},
+            .body =
+                "{\"error\":{\"code\":\"internal_error\",\"message\":"
+                "\"the request could not be handled\"},"
+                "\"verdict\":\"may_have_run\"}\n",
+            .stream = std::nullopt};
+  }
 }
 
 int OnRequest(const _u_request* request, _u_response* response, void* user) {
--- a/Libraries/LibHttp/json_response.h
+++ b/Libraries/LibHttp/json_response.h
@@ -1,6 +1,12 @@
 #ifndef LIBHTTP_JSON_RESPONSE_H_
 #define LIBHTTP_JSON_RESPONSE_H_
 
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <string>
+#include <type_traits>
+
 #include <nlohmann/json.hpp>
 
 #include "LibHttp/http_message.h"
@@ -13,6 +19,26 @@
 /// Parses a body as a JSON object; anything else gives an empty optional.
 std::optional<nlohmann::json> ParseJsonObject(const std::string& body);
 
+/// Returns a member of an object, or the fallback if it is absent or has
+/// another type. Never throws.
+template <typename T>
+T MemberOr(const nlohmann::json& object, const char* name, T fallback) {
+  const auto found = object.find(name);
+  if (found == object.end()) {
+    return fallback;
+  }
+  if constexpr (std::is_same_v<T, bool>) {
+    return found->is_boolean() ? found->get<T>() : fallback;
+  } else if constexpr (std::is_arithmetic_v<T>) {
+    return found->is_number_unsigned() &&
+                   found->get<std::uint64_t>() <= std::numeric_limits<T>::max()
+               ? found->get<T>()
+               : fallback;
+  } else {
+    return found->is_string() ? found->get<T>() : fallback;
+  }
+}
+
 }  // namespace crocus
 
 #endif  // LIBHTTP_JSON_RESPONSE_H_
--- a/Libraries/LibMessages/archive.h
+++ b/Libraries/LibMessages/archive.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <vector>
 
 #include <cereal/cereal.hpp>
 
@@ -100,6 +101,21 @@
   tag.size = size;
 }
 
+/// Loads a list element by element: its memory grows with the bytes that were
+/// decoded. Memory for the announced size would be many times the frame's size
+/// if the elements are large in memory and announced but not sent.
+template <typename T, typename Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(
+    BoundedInputArchive& archive,
+    std::vector<T, Allocator>& values) {
+  cereal::size_type size = 0;
+  archive(cereal::make_size_tag(size));
+  values.clear();
+  for (cereal::size_type i = 0; i < size; ++i) {
+    archive(values.emplace_back());
+  }
+}
+
 template <typename T>
 void CEREAL_SAVE_FUNCTION_NAME(StringOutputArchive& archive,
                                const cereal::BinaryData<T>& data) {
--- a/Libraries/LibNetwork/connection.cc
+++ b/Libraries/LibNetwork/connection.cc
@@ -1,5 +1,10 @@
 #include "LibNetwork/connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -23,6 +28,23 @@
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
+/// Closes the connection about 15 s after the peer's host has vanished, also
+/// while sent bytes wait for its acknowledgement.
+void DetectLostPeer(boost::asio::ip::tcp::socket& socket) {
+  constexpr int kIdleSeconds = 6;
+  constexpr int kProbeIntervalSeconds = 3;
+  constexpr int kProbes = 3;
+  constexpr int kUnacknowledgedMilliseconds = 15000;
+  const auto set = [&socket](int level, int name, int value) {
+    setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
+  };
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kIdleSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kProbeIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+}
+
 }  // namespace
 
 Connection::Connection(boost::asio::ip::tcp::socket socket,
@@ -36,7 +58,7 @@
   boost::system::error_code ignored;
   // Token chunks are small; waiting to merge them would add latency.
   this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  this->socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  DetectLostPeer(this->socket);
   if (this->handlers.on_open) {
     this->handlers.on_open(this->shared_from_this());
   }
@@ -85,22 +107,30 @@
           self->CloseNow(header.error().message);
           return;
         }
-        self->ReadBody(*header);
+        self->incoming = {.type = header->type,
+                          .correlation = header->correlation,
+                          .body = {}};
+        self->ReadBody(header->body_bytes);
       });
 }
 
-void Connection::ReadBody(const FrameHeader& header) {
-  this->incoming.type = header.type;
-  this->incoming.correlation = header.correlation;
-  this->incoming.body.resize(header.body_bytes);
+void Connection::ReadBody(std::size_t body_bytes) {
+  const std::size_t received = this->incoming.body.size();
+  const std::size_t part = std::min(body_bytes - received, kBodyPartBytes);
+  this->incoming.body.resize(received + part);
   boost::asio::async_read(
-      this->socket, boost::asio::buffer(this->incoming.body),
-      [self = this->shared_from_this()](boost::system::error_code error,
-                                        std::size_t) {
+      this->socket,
+      boost::asio::buffer(this->incoming.body.data() + received, part),
+      [self = this->shared_from_this(), body_bytes](
+          boost::system::error_code error, std::size_t) {
         if (error) {
           self->CloseNow(error.message());
           return;
         }
+        if (self->incoming.body.size() < body_bytes) {
+          self->ReadBody(body_bytes);
+          return;
+        }
         if (self->handlers.on_frame) {
           self->handlers.on_frame(self, std::exchange(self->incoming, {}));
         }
--- a/Libraries/LibNetwork/connection.h
+++ b/Libraries/LibNetwork/connection.h
@@ -47,8 +47,12 @@
  private:
   static constexpr std::size_t kMaximumQueuedBytes = 64u << 20;
 
+  /// Part of a body for which memory is taken at once. A peer that announces a
+  /// large frame and stops must not hold memory for all of it.
+  static constexpr std::size_t kBodyPartBytes = 256u << 10;
+
   void ReadHeader();
-  void ReadBody(const FrameHeader& header);
+  void ReadBody(std::size_t body_bytes);
   void Write();
   void CloseNow(const std::string& reason);
 
--- a/Libraries/LibNetwork/frame_client.cc
+++ b/Libraries/LibNetwork/frame_client.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include "LibCore/random.h"
+#include "LibCore/time.h"
 #include "LibEvents/event_log.h"
 #include "LibNetwork/peer_address.h"
 
@@ -76,21 +77,25 @@
 }
 
 void FrameClient::OnConnected(boost::asio::ip::tcp::socket connected) {
-  this->retry_delay = kFirstRetryDelay;
   ConnectionHandlers wrapped = this->handlers;
-  wrapped.on_closed = [weak = this->weak_from_this(),
-                       on_closed = this->handlers.on_closed](
-                          const std::shared_ptr<Connection>& closed,
-                          const std::string& reason) {
-    if (on_closed) {
-      on_closed(closed, reason);
-    }
-    if (const auto self = weak.lock()) {
-      LogEvent(Event::kConnectionLost,
-               {{"peer", self->address}, {"reason", reason}});
-      self->RetryLater();
-    }
-  };
+  wrapped.on_closed =
+      [weak = this->weak_from_this(), on_closed = this->handlers.on_closed,
+       opened_at = MonotonicNow()](const std::shared_ptr<Connection>& closed,
+                                   const std::string& reason) {
+        if (on_closed) {
+          on_closed(closed, reason);
+        }
+        if (const auto self = weak.lock()) {
+          LogEvent(Event::kConnectionLost,
+                   {{"peer", self->address}, {"reason", reason}});
+          // A peer that accepts connections and breaks them at once is retried
+          // with growing delays, like one that refuses them.
+          if (MonotonicNow() - opened_at >= kMaximumRetryDelay) {
+            self->retry_delay = kFirstRetryDelay;
+          }
+          self->RetryLater();
+        }
+      };
   auto opened =
       std::make_shared<Connection>(std::move(connected), std::move(wrapped));
   {
--- a/Libraries/LibPlatform/engine_client.cc
+++ b/Libraries/LibPlatform/engine_client.cc
@@ -4,6 +4,7 @@
 
 #include "LibHttp/http_client.h"
 #include "LibHttp/json_response.h"
+#include "LibPlatform/token_reader.h"
 
 namespace crocus {
 
@@ -13,62 +14,6 @@
 constexpr int kConflictStatus = 409;
 constexpr int kUnprocessable = 422;
 
-/// Splits a stream of server-sent events and passes on the tokens.
-class TokenReader {
- public:
-  explicit TokenReader(const TokenHandler& on_token) : on_token(on_token) {}
-
-  /// Returns false to stop the stream.
-  bool Add(std::string_view part) {
-    this->pending += part;
-    for (;;) {
-      const auto end = this->pending.find("\n\n");
-      if (end == std::string::npos) {
-        return true;
-      }
-      const std::string event = this->pending.substr(0, end);
-      this->pending.erase(0, end + 2);
-      if (!this->OnEvent(event)) {
-        return false;
-      }
-    }
-  }
-
-  bool is_complete() const { return this->complete; }
-  bool is_cancelled() const { return this->cancelled; }
-
- private:
-  bool OnEvent(const std::string& event) {
-    constexpr std::string_view kPrefix = "data: ";
-    if (event.rfind(kPrefix, 0) != 0) {
-      return true;
-    }
-    const std::string data = event.substr(kPrefix.size());
-    if (data == "[DONE]") {
-      this->complete = true;
-      return true;
-    }
-    const auto json = ParseJsonObject(data);
-    if (!json) {
-      return false;
-    }
-    if (json->value("cancelled", false)) {
-      this->cancelled = true;
-      return true;
-    }
-    if (!this->on_token(json->value("index", 0u), json->value("text", ""))) {
-      this->cancelled = true;
-      return false;
-    }
-    return true;
-  }
-
-  const TokenHandler& on_token;
-  std::string pending;
-  bool complete = false;
-  bool cancelled = false;
-};
-
 HttpCall JsonCall(const std::string& url,
                   const nlohmann::json& body,
                   std::chrono::seconds timeout) {
@@ -132,7 +77,7 @@
                    "service answered " + std::to_string(reply.status),
                    Verdict::kMayHaveRun);
   }
-  return json->value("text", "");
+  return MemberOr(*json, "text", std::string());
 }
 
 Result<void> EngineClient::Cancel(const std::string& request_id) const {
--- a/Libraries/LibPlatform/engine_client.h
+++ b/Libraries/LibPlatform/engine_client.h
@@ -3,10 +3,10 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <string>
 
 #include "LibCore/result.h"
+#include "LibPlatform/token_reader.h"
 
 namespace crocus {
 
@@ -23,10 +23,6 @@
 /// How a stream ended that did not fail.
 enum class EngineOutcome { kComplete, kCancelled };
 
-/// Receives a token with its index; returning false stops the stream.
-using TokenHandler =
-    std::function<bool(std::uint32_t index, const std::string& text)>;
-
 struct EngineOrderCall {
   std::string action;
   std::string argument;
--- a/Libraries/LibPlatform/http_log_client.cc
+++ b/Libraries/LibPlatform/http_log_client.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "LibHttp/http_client.h"
+#include "LibPlatform/log_page.h"
 
 namespace crocus {
 
@@ -13,27 +14,6 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServiceUnavailable = 503;
 
-Result<LogPage> ParsePage(const std::string& body) {
-  const auto json = nlohmann::json::from_msgpack(body, true, false);
-  if (!json.is_object() || !json.contains("first") || !json.contains("next") ||
-      !json.contains("records") || !json["records"].is_array()) {
-    return Failure(ErrorCode::kCorrupt, "log page is malformed");
-  }
-  LogPage page{.first = json["first"].get<std::uint64_t>(),
-               .next = json["next"].get<std::uint64_t>(),
-               .records = {}};
-  for (const auto& record : json["records"]) {
-    if (!record.is_object() ||
-        !record.value("data", nlohmann::json()).is_binary()) {
-      return Failure(ErrorCode::kCorrupt, "log record is malformed");
-    }
-    const auto& data = record["data"].get_binary();
-    page.records.push_back({.offset = record["offset"].get<std::uint64_t>(),
-                            .data = std::string(data.begin(), data.end())});
-  }
-  return page;
-}
-
 }  // namespace
 
 Result<std::uint64_t> HttpLogClient::Append(const std::string& stream,
@@ -80,7 +60,7 @@
     return Failure(ErrorCode::kUnavailable,
                    "log: read answered " + std::to_string(reply.status));
   }
-  return ParsePage(reply.body);
+  return ParseLogPage(reply.body);
 }
 
 }  // namespace crocus
--- /dev/null
+++ b/Libraries/LibPlatform/token_reader.cc
@@ -0,0 +1,48 @@
+#include "LibPlatform/token_reader.h"
+
+#include "LibHttp/json_response.h"
+
+namespace crocus {
+
+bool TokenReader::Add(std::string_view part) {
+  this->pending += part;
+  for (;;) {
+    const auto end = this->pending.find("\n\n");
+    if (end == std::string::npos) {
+      return true;
+    }
+    const std::string event = this->pending.substr(0, end);
+    this->pending.erase(0, end + 2);
+    if (!this->OnEvent(event)) {
+      return false;
+    }
+  }
+}
+
+bool TokenReader::OnEvent(const std::string& event) {
+  constexpr std::string_view kPrefix = "data: ";
+  if (event.rfind(kPrefix, 0) != 0) {
+    return true;
+  }
+  const std::string data = event.substr(kPrefix.size());
+  if (data == "[DONE]") {
+    this->complete = true;
+    return true;
+  }
+  const auto json = ParseJsonObject(data);
+  if (!json) {
+    return false;
+  }
+  if (MemberOr(*json, "cancelled", false)) {
+    this->cancelled = true;
+    return true;
+  }
+  if (!this->on_token(MemberOr(*json, "index", 0u),
+                      MemberOr(*json, "text", std::string()))) {
+    this->cancelled = true;
+    return false;
+  }
+  return true;
+}
+
+}  // namespace crocus
--- a/Libraries/LibSettings/ini_document.cc
+++ b/Libraries/LibSettings/ini_document.cc
@@ -14,17 +14,34 @@
 struct Cursor {
   std::istringstream stream;
   int line = 0;
+  /// The line continues the value of the line before.
+  bool is_continuation = false;
   IniDocument* document;
+  /// First line that cannot be read, and why.
+  std::string error;
 };
 
 char* ReadLine(char* buffer, int size, void* user) {
   auto* cursor = static_cast<Cursor*>(user);
   std::string line;
-  if (!std::getline(cursor->stream, line)) {
+  if (!cursor->error.empty() || !std::getline(cursor->stream, line)) {
     return nullptr;
   }
   ++cursor->line;
-  line.resize(std::min<std::size_t>(line.size(), size - 2));
+  // inih has a fixed buffer and takes a zero byte for the end of the line; it
+  // would cut the value off without an error.
+  const std::size_t limit = size - 2;
+  if (line.size() > limit) {
+    cursor->error = "the line is longer than " + std::to_string(limit) +
+                    " bytes; a value can be continued on indented lines";
+    return nullptr;
+  }
+  if (line.find('\0') != std::string::npos) {
+    cursor->error = "the line contains a zero byte";
+    return nullptr;
+  }
+  cursor->is_continuation =
+      !line.empty() && (line.front() == ' ' || line.front() == '\t');
   line += '\n';
   line.copy(buffer, line.size());
   buffer[line.size()] = '\0';
@@ -36,10 +53,23 @@
             const char* name,
             const char* value) {
   auto* cursor = static_cast<Cursor*>(user);
-  cursor->document->entries.push_back({.section = section,
-                                       .key = name,
-                                       .value = value == nullptr ? "" : value,
-                                       .line = cursor->line});
+  auto& entries = cursor->document->entries;
+  const std::string text = value == nullptr ? "" : value;
+  // inih reports a continuation as a further entry with the same name. An
+  // indented "key = value" is one as well, so only lists are continued.
+  if (cursor->is_continuation && !entries.empty() &&
+      entries.back().section == section && entries.back().key == name) {
+    if (entries.back().value.empty() || entries.back().value.back() != ',') {
+      cursor->error =
+          "an indented line continues the value above it, which must end with "
+          "a comma";
+      return 0;
+    }
+    entries.back().value += " " + text;
+    return 1;
+  }
+  entries.push_back(
+      {.section = section, .key = name, .value = text, .line = cursor->line});
   return 1;
 }
 
@@ -47,10 +77,14 @@
 
 Result<IniDocument> ParseIni(const std::string& file, const std::string& text) {
   IniDocument document{.file = file, .entries = {}};
-  Cursor cursor{
-      .stream = std::istringstream(text), .line = 0, .document = &document};
+  Cursor cursor{.stream = std::istringstream(text), .document = &document};
   // inih takes one user pointer for both the reader and the handler.
   const int error = ini_parse_stream(ReadLine, &cursor, OnEntry, &cursor);
+  if (!cursor.error.empty()) {
+    return Failure(
+        ErrorCode::kInvalidArgument,
+        file + ":" + std::to_string(cursor.line) + ": " + cursor.error);
+  }
   if (error != 0) {
     return Failure(
         ErrorCode::kInvalidArgument,
--- /dev/null
+++ b/Services/Entry/batch_input.h
@@ -0,0 +1,17 @@
+#ifndef ENTRY_BATCH_INPUT_H_
+#define ENTRY_BATCH_INPUT_H_
+
+#include "Entry/batch_store.h"
+#include "LibCore/result.h"
+#include "LibHttp/http_message.h"
+
+namespace crocus {
+
+/// Parses the body of POST /v1/batches: line 1 is the job, each other line an
+/// item. Errors name the line and the field. The job's id follows from the
+/// workspace and the caller's key, or from the content.
+Result<BatchInput> ParseBatch(const HttpRequest& request);
+
+}  // namespace crocus
+
+#endif  // ENTRY_BATCH_INPUT_H_
--- a/Services/Entry/batch_interface.cc
+++ b/Services/Entry/batch_interface.cc
@@ -1,20 +1,15 @@
 #include "Entry/batch_interface.h"
 
 #include <cstdlib>
-#include <sstream>
 
+#include "Entry/batch_input.h"
 #include "Entry/refusal.h"
-#include "LibCore/hashing.h"
-#include "LibCore/time.h"
 #include "LibHttp/json_response.h"
 
 namespace crocus {
 
 namespace {
 
-/// Largest number of items in one job.
-constexpr std::size_t kLargestJobItems = 410000;
-
 constexpr std::uint64_t kDefaultPageItems = 1000;
 
 HttpResponse InvalidBatch(const std::string& message) {
@@ -30,47 +25,6 @@
           .retry_after = std::chrono::seconds(2)};
 }
 
-Result<BatchInput> ParseBatch(const HttpRequest& request) {
-  std::istringstream lines(request.body);
-  std::string line;
-  std::getline(lines, line);
-  const auto header = ParseJsonObject(line);
-  if (!header || header->value("model", "").empty() ||
-      header->value("workspace", "").empty()) {
-    return Failure(ErrorCode::kInvalidArgument,
-                   "line 1: model and workspace are required");
-  }
-  BatchInput input{
-      .job = {},
-      .workspace = header->value("workspace", ""),
-      .request_class = header->value("class", "batch"),
-      .model = header->value("model", ""),
-      .due_ms = UnixMilliseconds() +
-                header->value("due_in_ms", std::int64_t{24 * 3600 * 1000}),
-      .items = {}};
-  for (std::size_t number = 2; std::getline(lines, line); ++number) {
-    if (line.empty()) {
-      continue;
-    }
-    const auto item = ParseJsonObject(line);
-    if (!item || !item->contains("prompt") || !(*item)["prompt"].is_string()) {
-      return Failure(ErrorCode::kInvalidArgument,
-                     "line " + std::to_string(number) + ": prompt is required");
-    }
-    if (input.items.size() == kLargestJobItems) {
-      return Failure(ErrorCode::kInvalidArgument,
-                     "the job has more than 410000 items");
-    }
-    input.items.push_back({.prompt = item->value("prompt", ""),
-                           .max_tokens = item->value("max_tokens", 16u)});
-  }
-  const std::string key = request.Header("idempotency-key");
-  input.job =
-      "j-" + DigestOf(input.workspace + "\n" +
-                      (key.empty() ? "digest " + request.body : "key " + key));
-  return input;
-}
-
 }  // namespace
 
 HttpResponse BatchInterface::Submit(const HttpRequest& request) {
--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibEvents/event_log.h"
+#include "LibNetwork/decode_frame.h"
 
 namespace crocus {
 
@@ -15,18 +16,18 @@
   for (const auto& daemon : daemons) {
     this->clients[daemon] = std::make_shared<FrameClient>(
         context, daemon,
-        ConnectionHandlers{.on_open =
-                               [this, daemon](const auto& connection) {
-                                 this->OnOpen(daemon, connection);
-                               },
-                           .on_frame =
-                               [this, daemon](const auto&, const Frame& frame) {
-                                 this->OnFrame(daemon, frame);
-                               },
-                           .on_closed =
-                               [this, daemon](const auto&, const auto&) {
-                                 this->OnLost(daemon);
-                               }});
+        ConnectionHandlers{
+            .on_open =
+                [this, daemon](const auto& connection) {
+                  this->OnOpen(daemon, connection);
+                },
+            .on_frame =
+                [this, daemon](const auto& connection, const Frame& frame) {
+                  this->OnFrame(daemon, connection, frame);
+                },
+            .on_closed = [this, daemon](
+                             const auto&,
+                             const auto&) { this->OnLost(daemon); }});
   }
 }
 
@@ -169,11 +170,13 @@
   }
 }
 
-void Fleet::OnFrame(const std::string& daemon, const Frame& frame) {
+void Fleet::OnFrame(const std::string& daemon,
+                    const std::shared_ptr<Connection>& connection,
+                    const Frame& frame) {
   using messages::MessageType;
   switch (frame.type) {
     case MessageType::kHello:
-      if (auto hello = Decode<messages::Hello>(frame.body)) {
+      if (auto hello = DecodeOrClose<messages::Hello>(connection, frame)) {
         const std::uint64_t version = hello->rules_version;
         {
           std::lock_guard lock(this->mutex);
@@ -183,7 +186,8 @@
       }
       return;
     case MessageType::kLoadReport:
-      if (const auto report = Decode<messages::LoadReport>(frame.body)) {
+      if (const auto report =
+              DecodeOrClose<messages::LoadReport>(connection, frame)) {
         {
           std::lock_guard lock(this->mutex);
           auto& state = this->daemons[daemon];
@@ -196,12 +200,14 @@
       }
       return;
     case MessageType::kRulesPush:
-      if (const auto rules = Decode<messages::RulesPush>(frame.body)) {
+      if (const auto rules =
+              DecodeOrClose<messages::RulesPush>(connection, frame)) {
         this->handlers.on_rules(daemon, *rules);
       }
       return;
     case MessageType::kTokenChunk:
-      if (const auto chunk = Decode<messages::TokenChunk>(frame.body)) {
+      if (const auto chunk =
+              DecodeOrClose<messages::TokenChunk>(connection, frame)) {
         std::function<void(const messages::TokenChunk&)> on_chunk;
         {
           std::lock_guard lock(this->mutex);
@@ -216,12 +222,14 @@
       }
       return;
     case MessageType::kAttemptDone:
-      if (const auto done = Decode<messages::AttemptDone>(frame.body)) {
+      if (const auto done =
+              DecodeOrClose<messages::AttemptDone>(connection, frame)) {
         this->OnDone(*done);
       }
       return;
     case MessageType::kOfferResults:
-      if (const auto offer = Decode<messages::OfferResults>(frame.body)) {
+      if (const auto offer =
+              DecodeOrClose<messages::OfferResults>(connection, frame)) {
         this->handlers.on_offer(daemon, *offer);
         for (const auto& result : offer->results) {
           this->OnDone(result.done);
@@ -229,7 +237,8 @@
       }
       return;
     case MessageType::kRevokeReply:
-      if (const auto reply = Decode<messages::RevokeReply>(frame.body)) {
+      if (const auto reply =
+              DecodeOrClose<messages::RevokeReply>(connection, frame)) {
         std::function<void(Verdict)> on_reply;
         {
           std::lock_guard lock(this->mutex);
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -123,7 +123,9 @@
 
   void OnOpen(const std::string& daemon,
               const std::shared_ptr<Connection>& connection);
-  void OnFrame(const std::string& daemon, const Frame& frame);
+  void OnFrame(const std::string& daemon,
+               const std::shared_ptr<Connection>& connection,
+               const Frame& frame);
   void OnLost(const std::string& daemon);
   void OnDone(const messages::AttemptDone& done);
   /// Asks the daemon for its rules if they are newer than ours.
--- a/Services/Entry/internal_server.cc
+++ b/Services/Entry/internal_server.cc
@@ -28,11 +28,4 @@
   }
 }
 
-void InternalServer::Reject(const std::shared_ptr<Connection>& connection,
-                            const Error& error) {
-  LogEvent(Event::kFrameRejected,
-           {{"peer", connection->peer()}, {"reason", error.message}});
-  connection->Close(error.message);
-}
-
 }  // namespace crocus
--- a/Services/Entry/internal_server.h
+++ b/Services/Entry/internal_server.h
@@ -11,7 +11,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "LibCore/result.h"
-#include "LibEvents/event_log.h"
+#include "LibNetwork/decode_frame.h"
 #include "LibNetwork/frame_server.h"
 
 namespace crocus {
@@ -32,10 +32,8 @@
     this->handlers[Message::kType] =
         [handler](const std::shared_ptr<Connection>& connection,
                   const Frame& frame) {
-          if (const auto message = Decode<Message>(frame.body)) {
+          if (const auto message = DecodeOrClose<Message>(connection, frame)) {
             handler(connection, *message, frame.correlation);
-          } else {
-            Reject(connection, message.error());
           }
         };
   }
@@ -50,9 +48,6 @@
   using FrameHandler =
       std::function<void(const std::shared_ptr<Connection>&, const Frame&)>;
 
-  static void Reject(const std::shared_ptr<Connection>& connection,
-                     const Error& error);
-
   boost::asio::io_context& context;
   const std::function<messages::Hello()> hello;
   std::map<messages::MessageType, FrameHandler> handlers;
--- a/Services/Entry/online_requests.cc
+++ b/Services/Entry/online_requests.cc
@@ -56,6 +56,11 @@
       return FieldError(name, "has the wrong type");
     }
   }
+  // Checked before the conversion to 32 bits, which would cut the number off.
+  if (json.contains("max_tokens") &&
+      json["max_tokens"].get<std::uint64_t>() > kLargestMaxTokens) {
+    return FieldError("max_tokens", "is out of range");
+  }
   for (const char* name : {"model", "prompt", "workspace"}) {
     if (!json.contains(name) || json[name].get<std::string>().empty()) {
       return FieldError(name, "is required");
--- a/Services/Entry/rules_peers.cc
+++ b/Services/Entry/rules_peers.cc
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "LibNetwork/decode_frame.h"
+
 namespace crocus {
 
 RulesPeers::RulesPeers(boost::asio::io_context& context,
@@ -27,8 +29,8 @@
                       .known_version = this->follower.version()}));
                 },
             .on_frame =
-                [this, entry](const auto&, const Frame& frame) {
-                  this->OnFrame(entry, frame);
+                [this, entry](const auto& connection, const Frame& frame) {
+                  this->OnFrame(entry, connection, frame);
                 },
             .on_closed = [this, entry](const auto&,
                                        const auto&) { this->OnLost(entry); }});
@@ -59,9 +61,11 @@
   return entries;
 }
 
-void RulesPeers::OnFrame(const std::string& entry, const Frame& frame) {
+void RulesPeers::OnFrame(const std::string& entry,
+                         const std::shared_ptr<Connection>& connection,
+                         const Frame& frame) {
   if (frame.type == messages::MessageType::kHello) {
-    if (const auto hello = Decode<messages::Hello>(frame.body)) {
+    if (const auto hello = DecodeOrClose<messages::Hello>(connection, frame)) {
       std::lock_guard lock(this->mutex);
       auto& view = this->views[entry];
       view.is_connected = true;
@@ -69,7 +73,8 @@
       view.rules_version = hello->rules_version;
     }
   } else if (frame.type == messages::MessageType::kRulesPush) {
-    if (const auto push = Decode<messages::RulesPush>(frame.body)) {
+    if (const auto push =
+            DecodeOrClose<messages::RulesPush>(connection, frame)) {
       {
         std::lock_guard lock(this->mutex);
         this->views[entry].rules_version = push->version;
--- a/Services/Entry/rules_peers.h
+++ b/Services/Entry/rules_peers.h
@@ -46,7 +46,9 @@
   std::vector<EntryView> Entries() const;
 
  private:
-  void OnFrame(const std::string& entry, const Frame& frame);
+  void OnFrame(const std::string& entry,
+               const std::shared_ptr<Connection>& connection,
+               const Frame& frame);
   void OnLost(const std::string& entry);
   void AskLater();
 
--- a/Tests/LibMessages/frame_test.cc
+++ b/Tests/LibMessages/frame_test.cc
@@ -1,5 +1,7 @@
 #include "LibMessages/frame.h"
 
+#include <sys/resource.h>
+
 #include <rapidcheck.h>
 
 #include <CppUTest/TestHarness.h>
@@ -41,6 +43,23 @@
   }));
 }
 
+// Guards against a list that takes memory for elements which were announced
+// but not sent: 450 bytes for each byte of the frame.
+TEST(Frame_Decoding, AnnouncedListTakesNoMoreMemoryThanItsBytes) {
+  constexpr std::uint32_t kAnnounced = 8u << 20;
+  std::string bytes = Encode(kAnnounced) + std::string(kAnnounced, '\xff');
+  rlimit before{};
+  getrlimit(RLIMIT_AS, &before);
+  rlimit limit = before;
+  limit.rlim_cur = 1u << 30;
+  setrlimit(RLIMIT_AS, &limit);
+  const auto decoded = Decode<messages::OfferResults>(bytes);
+  setrlimit(RLIMIT_AS, &before);
+  CHECK_FALSE(decoded.has_value());
+  STRCMP_EQUAL("container size exceeds the message",
+               decoded.error().message.c_str());
+}
+
 TEST(Frame_Decoding, HeaderWithOversizedBodyIsAnError) {
   std::string header(kFrameHeaderBytes, '\xff');
   CHECK_FALSE(DecodeFrameHeader(header));
--- a/Tests/LibSettings/settings_test.cc
+++ b/Tests/LibSettings/settings_test.cc
@@ -37,6 +37,34 @@
   CHECK(settings->fleet.daemons.empty());
 }
 
+// Guards against a list of daemons that is cut off at the length of a line.
+TEST(EntrySettings_Parsing, LongListIsContinuedOnIndentedLines) {
+  std::string text = std::string(kValidEntry) + "[fleet]\ndaemons = 10.0.0.1:1";
+  for (int i = 2; i <= 420; ++i) {
+    text += (i % 5 == 0 ? ",\n  10.0.0.1:" : ", 10.0.0.1:") + std::to_string(i);
+  }
+  const auto document =
+      ParseIni("entry.ini", text + "\n[limits]\nconnections=7");
+  CHECK(document.has_value());
+  const auto settings = ParseEntrySettings(*document);
+  CHECK(settings.has_value());
+  CHECK_EQUAL(420, settings->fleet.daemons.size());
+  STRCMP_EQUAL("10.0.0.1:420", settings->fleet.daemons.back().c_str());
+  CHECK_EQUAL(7, settings->limits.connections);
+}
+
+// Guards against values that are silently cut off or joined.
+TEST(EntrySettings_Parsing, UnreadableLinesAreNamed) {
+  const std::string valid = kValidEntry;
+  STRCMP_CONTAINS(
+      "entry.ini:7: the line is longer than",
+      ErrorOf(valid + "hosts_url=" + std::string(400, 'x')).c_str());
+  STRCMP_CONTAINS("entry.ini:7: the line contains a zero byte",
+                  ErrorOf(valid + std::string("hosts_url=a\0b", 13)).c_str());
+  STRCMP_CONTAINS("entry.ini:7: an indented line",
+                  ErrorOf(valid + "  hosts_url = http://x\n").c_str());
+}
+
 // Guards against a misspelt key that is silently ignored.
 TEST(EntrySettings_Parsing, UnknownKeyNamesLineAndNearestKey) {
   const std::string error =
