--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -104,7 +104,7 @@
 port_file = $run/entry.port
 [platform]
 log_url = http://127.0.0.1:$(port log http)
-hosts_url = http://127.0.0.1:$(port hosts http)/hosts
+hosts_url = http://127.0.0.1:$(port hosts http)
 require_rules = true
 [fleet]
 daemons = $daemons
