Fuzz every decoder of outside bytes

Cause: the decoders were tested with chosen inputs only.

Meta/fuzz.sh runs each and a fixed number of runs, and Meta/test.sh calls it.

Tests: with the type check of batch fields, of log offsets or of engine answers disabled, the fuzzers end with an uncaught exception.

--- a/Meta/test.sh
+++ b/Meta/test.sh
@@ -7,6 +7,7 @@
 ./Meta/build.sh
 ./Meta/check-format.sh
 ./Meta/lint.sh
+./Meta/fuzz.sh
 # rapidcheck reads its seed and size from the environment.
 export RC_PARAMS="seed=20261204 max_success=200"
 ctest --test-dir Build --output-on-failure --timeout 300 -j 4
