--- a/Services/Entry/fleet.cc
+++ b/Services/Entry/fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibEvents/event_log.h"
+#include "LibNetwork/decode_frame.h"
 
 namespace crocus {
 
@@ -16,18 +17,18 @@
   for (const auto& daemon : daemons) {
     this->clients[daemon] = std::make_shared<FrameClient>(
         context, daemon,
-        ConnectionHandlers{.on_open =
-                               [this, daemon](const auto& connection) {
-                                 this->OnOpen(daemon, connection);
-                               },
-                           .on_frame =
-                               [this, daemon](const auto&, const Frame& frame) {
-                                 this->OnFrame(daemon, frame);
-                               },
-                           .on_closed =
-                               [this, daemon](const auto&, const auto&) {
-                                 this->OnLost(daemon);
-                               }});
+        ConnectionHandlers{
+            .on_open =
+                [this, daemon](const auto& connection) {
+                  this->OnOpen(daemon, connection);
+                },
+            .on_frame =
+                [this, daemon](const auto& connection, const Frame& frame) {
+                  this->OnFrame(daemon, connection, frame);
+                },
+            .on_closed = [this, daemon](
+                             const auto&,
+                             const auto&) { this->OnLost(daemon); }});
   }
 }
 
@@ -186,14 +187,16 @@
   }
 }
 
-void Fleet::OnFrame(const std::string& daemon, const Frame& frame) {
+void Fleet::OnFrame(const std::string& daemon,
+                    const std::shared_ptr<Connection>& connection,
+                    const Frame& frame) {
   using messages::MessageType;
   if (this->handlers.on_frame) {
     this->handlers.on_frame(daemon, frame);
   }
   switch (frame.type) {
     case MessageType::kHello:
-      if (auto hello = Decode<messages::Hello>(frame.body)) {
+      if (auto hello = DecodeOrClose<messages::Hello>(connection, frame)) {
         const std::uint64_t version = hello->rules_version;
         {
           std::lock_guard lock(this->mutex);
@@ -203,26 +206,30 @@
       }
       return;
     case MessageType::kLoadReport:
-      if (const auto report = Decode<messages::LoadReport>(frame.body)) {
+      if (const auto report =
+              DecodeOrClose<messages::LoadReport>(connection, frame)) {
         this->OnLoadReport(daemon, *report);
         this->OnRulesVersion(daemon, report->rules_version);
         this->handlers.on_load();
       }
       return;
     case MessageType::kRulesPush:
-      if (const auto rules = Decode<messages::RulesPush>(frame.body)) {
+      if (const auto rules =
+              DecodeOrClose<messages::RulesPush>(connection, frame)) {
         this->handlers.on_rules(daemon, *rules);
       }
       return;
     case MessageType::kLoadChange:
-      if (const auto change = Decode<messages::LoadChange>(frame.body)) {
+      if (const auto change =
+              DecodeOrClose<messages::LoadChange>(connection, frame)) {
         this->OnLoadChange(daemon, *change);
         this->OnRulesVersion(daemon, change->rules_version);
         this->handlers.on_load();
       }
       return;
     case MessageType::kTokenChunk:
-      if (const auto chunk = Decode<messages::TokenChunk>(frame.body)) {
+      if (const auto chunk =
+              DecodeOrClose<messages::TokenChunk>(connection, frame)) {
         std::function<void(const messages::TokenChunk&)> on_chunk;
         {
           std::lock_guard lock(this->mutex);
@@ -237,12 +244,14 @@
       }
       return;
     case MessageType::kAttemptDone:
-      if (const auto done = Decode<messages::AttemptDone>(frame.body)) {
+      if (const auto done =
+              DecodeOrClose<messages::AttemptDone>(connection, frame)) {
         this->OnDone(*done);
       }
       return;
     case MessageType::kOfferResults:
-      if (const auto offer = Decode<messages::OfferResults>(frame.body)) {
+      if (const auto offer =
+              DecodeOrClose<messages::OfferResults>(connection, frame)) {
         this->handlers.on_offer(daemon, *offer);
         for (const auto& result : offer->results) {
           this->OnDone(result.done);
@@ -250,12 +259,14 @@
       }
       return;
     case MessageType::kRevokeReply:
-      if (const auto reply = Decode<messages::RevokeReply>(frame.body)) {
+      if (const auto reply =
+              DecodeOrClose<messages::RevokeReply>(connection, frame)) {
         this->OnRevokeReply(frame.correlation, *reply);
       }
       return;
     case MessageType::kLeavingNotice:
-      if (const auto notice = Decode<messages::LeavingNotice>(frame.body)) {
+      if (const auto notice =
+              DecodeOrClose<messages::LeavingNotice>(connection, frame)) {
         this->OnLeaving(daemon, *notice);
       }
       return;
--- a/Services/Entry/fleet.h
+++ b/Services/Entry/fleet.h
@@ -133,7 +133,9 @@
 
   void OnOpen(const std::string& daemon,
               const std::shared_ptr<Connection>& connection);
-  void OnFrame(const std::string& daemon, const Frame& frame);
+  void OnFrame(const std::string& daemon,
+               const std::shared_ptr<Connection>& connection,
+               const Frame& frame);
   void OnLost(const std::string& daemon);
   void OnLoadChange(const std::string& daemon,
                     const messages::LoadChange& change);
