Give the gates what their length and token-time policies need

A host list or engine reply with a wrong JSON type ended the daemon. Change: token and answer reports, workspace, prompt length and resumability reach the gates; rules change their options; JSON members are read with MemberOr.

--- a/Libraries/LibPlatform/engine_client.cc
+++ b/Libraries/LibPlatform/engine_client.cc
@@ -89,7 +89,7 @@
                    "engine answered " + std::to_string(reply.status));
   }
   const auto json = ParseJsonObject(reply.body);
-  return json && json->value("cancelled", true);
+  return json && MemberOr(*json, "cancelled", true);
 }
 
 Result<void> EngineClient::Order(const EngineOrderCall& call) const {
--- a/Libraries/LibPolicy/daemon_decisions.cc
+++ b/Libraries/LibPolicy/daemon_decisions.cc
@@ -44,6 +44,13 @@
   }
 }
 
+/// Bytes of text in one token, on average.
+constexpr std::size_t kBytesPerToken = 4;
+
+std::uint32_t EstimateTokens(const std::string& prompt) {
+  return static_cast<std::uint32_t>(prompt.size() / kBytesPerToken);
+}
+
 bool MayHold(const messages::Execute& execute) {
   return execute.kind == WorkKind::kBatch || !execute.repeatable;
 }
@@ -170,7 +177,10 @@
       .attempt = execute.attempt,
       .kind = execute.kind,
       .expected_tokens = execute.max_tokens,
-      .deadline = now + std::chrono::milliseconds(execute.patience_ms)};
+      .deadline = now + std::chrono::milliseconds(execute.patience_ms),
+      .workspace = execute.workspace,
+      .prompt_tokens = EstimateTokens(execute.prompt),
+      .is_resumable = this->options.is_resumable && execute.repeatable};
   this->active[execute.attempt] = {
       .execute = execute, .connection = connection, .deadline = work.deadline};
   this->Settle(execute.replica,
@@ -289,11 +299,23 @@
   return true;
 }
 
-DaemonActions DaemonDecisions::ApplyRuleSet(const RuleSet& rules) {
+DaemonActions DaemonDecisions::ApplyRuleSet(const RuleSet& rules,
+                                            TimePoint now) {
+  DaemonActions actions;
   const auto found = rules.endpoints.find(this->options.endpoint);
   this->rule = found == rules.endpoints.end() ? EndpointRule{} : found->second;
-  // FIXME: Pass reserve_slots and long_share to the gates once they take them.
-  return this->SetLeaving(LeavingReason::kRules, this->rule.is_leaving);
+  GateOptions gate_options = this->options.gate;
+  gate_options.reserve_slots = this->rule.reserve_slots;
+  gate_options.long_share = this->rule.long_share;
+  gate_options.token_target = this->rule.token_target;
+  for (auto& [name, replica] : this->replicas) {
+    this->Settle(name, replica.gate.Configure(gate_options, now), now, actions);
+  }
+  const DaemonActions notices =
+      this->SetLeaving(LeavingReason::kRules, this->rule.is_leaving);
+  actions.messages.insert(actions.messages.end(), notices.messages.begin(),
+                          notices.messages.end());
+  return actions;
 }
 
 DaemonActions DaemonDecisions::SetLeaving(LeavingReason reason,
@@ -352,6 +374,7 @@
 bool DaemonDecisions::AddToken(const EngineRun& run,
                                std::uint32_t index,
                                const std::string& text,
+                               TimePoint now,
                                DaemonActions& actions) {
   const auto found = this->active.find(run.attempt);
   if (found == this->active.end() || found->second.run != run) {
@@ -374,6 +397,12 @@
                               .text = text},
          actions);
   }
+  const GateActions next =
+      this->replicas.at(run.replica)
+          .gate.ReportTokens(run.attempt, attempt.token_count, now);
+  if (next != GateActions{}) {
+    this->Settle(run.replica, next, now, actions);
+  }
   return true;
 }
 
@@ -409,6 +438,10 @@
   } else if (!is_complete) {
     done.reason = "cancelled";
   }
+  if (is_complete) {
+    this->replicas.at(run.replica)
+        .gate.ReportAnswer(run.attempt, attempt.token_count);
+  }
   this->End(found, done, now, actions);
   this->ReleaseSlot(run.replica, run.attempt, now, actions);
   return actions;
--- a/Libraries/LibPolicy/daemon_decisions.h
+++ b/Libraries/LibPolicy/daemon_decisions.h
@@ -26,6 +26,8 @@
 struct DaemonDecisionsOptions {
   messages::Hello hello;
   std::string endpoint;
+  /// Whether the replicas can resume a stream; plain services can't.
+  bool is_resumable = true;
   std::vector<std::string> replicas;
   std::vector<std::string> models;
   GateOptions gate;
@@ -58,7 +60,7 @@
   bool AcceptRules(const messages::RulesPush& push);
   /// Puts a parsed rule set in force: the only place where rules change what
   /// the daemon does.
-  DaemonActions ApplyRuleSet(const RuleSet& rules);
+  DaemonActions ApplyRuleSet(const RuleSet& rules, TimePoint now);
   DaemonActions SetLeaving(LeavingReason reason, bool is_leaving);
   /// Adds a model that a replica has loaded.
   DaemonActions AddModel(const std::string& replica, const std::string& model);
@@ -72,6 +74,7 @@
   bool AddToken(const EngineRun& run,
                 std::uint32_t index,
                 const std::string& text,
+                TimePoint now,
                 DaemonActions& actions);
   DaemonActions EndStream(const EngineRun& run,
                           const StreamOutcome& outcome,
--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -38,6 +38,7 @@
                 .region = settings.host.region,
                 .incarnation = incarnation},
       .endpoint = settings.endpoint.name,
+      .is_resumable = settings.endpoint.kind != "service",
       .replicas = settings.endpoint.replicas,
       .models = settings.endpoint.models,
       .gate = {.slots = settings.endpoint.slots},
@@ -211,7 +212,7 @@
     // The log accepts only text that parses; a newer version of the rule
     // language may still hold rules that this program does not know.
     const auto parsed = ParseRules("rules", push.text);
-    return parsed ? this->decisions.ApplyRuleSet(parsed->rules)
+    return parsed ? this->decisions.ApplyRuleSet(parsed->rules, MonotonicNow())
                   : DaemonActions{};
   });
 }
@@ -311,7 +312,8 @@
   bool is_wanted = false;
   this->Decide([&] {
     DaemonActions actions;
-    is_wanted = this->decisions.AddToken(run, index, text, actions);
+    is_wanted =
+        this->decisions.AddToken(run, index, text, MonotonicNow(), actions);
     return actions;
   });
   return is_wanted;
--- a/Services/Daemon/host_list_poller.cc
+++ b/Services/Daemon/host_list_poller.cc
@@ -6,6 +6,7 @@
 
 #include "LibEvents/event_log.h"
 #include "LibHttp/http_client.h"
+#include "LibHttp/json_response.h"
 
 namespace crocus {
 
@@ -23,8 +24,8 @@
     return Failure(ErrorCode::kCorrupt, "the reply is not a host list");
   }
   for (const auto& item : json["hosts"]) {
-    if (item.is_object() && item.value("name", "") == host) {
-      return item.value("state", "") == "leaving";
+    if (item.is_object() && MemberOr(item, "name", std::string()) == host) {
+      return MemberOr(item, "state", std::string()) == "leaving";
     }
   }
   return false;
