Keep results of a successor's jobs and make attempt ids repeatable

Cause: an owner that resumes after a pause still takes itself for the owner and its replay for complete. A held result of a job that only its successor has replayed looked like one of a forgotten job, so the daemon was told to drop a result that is not in the log. Attempt ids were drawn from the system, so a run with a seed could not be repeated.

Change: an offer remembers the epoch of its attempt, and an unknown job counts as forgotten only if that epoch is not above the own one. Jobs of earlier epochs lie before the own claim in the stream, so replay knows them. MakeIdentifier has an overload that draws from a given generator; the partition owner uses its own, which the process seeds from the system. The simulation of the owner tests now puts the epoch into held results, as a daemon does.

Before: PartitionOwner_UnknownJob.ResultOfALaterEpochIsNotConfirmed confirmed 1 result instead of 0, and PartitionOwner_SameSeed.AttemptsHaveTheSameIdentifiers failed. The other process tests were not run for this change.

Conclusion: both faults are fixed in the unit tests.

--- a/Libraries/LibCore/random.cc
+++ b/Libraries/LibCore/random.cc
@@ -16,10 +16,15 @@
 
 std::string MakeIdentifier(const std::string& prefix) {
   thread_local Random random(SystemRandom());
+  return MakeIdentifier(prefix, random);
+}
+
+std::string MakeIdentifier(const std::string& prefix, Random& random) {
+  // The order in which arguments are evaluated differs between compilers.
+  const auto high = static_cast<unsigned long long>(random.Next());
+  const auto low = static_cast<unsigned long long>(random.Next());
   char text[33];
-  std::snprintf(text, sizeof(text), "%016llx%016llx",
-                static_cast<unsigned long long>(random.Next()),
-                static_cast<unsigned long long>(random.Next()));
+  std::snprintf(text, sizeof(text), "%016llx%016llx", high, low);
   return prefix + "-" + text;
 }
 
--- a/Libraries/LibCore/random.h
+++ b/Libraries/LibCore/random.h
@@ -39,6 +39,10 @@
 /// 32 random hexadecimal digits. Thread-safe.
 std::string MakeIdentifier(const std::string& prefix);
 
+/// As above, with digits from `random`: unique if its seed is, and the same in
+/// each run with that seed.
+std::string MakeIdentifier(const std::string& prefix, Random& random);
+
 }  // namespace crocus
 
 #endif  // LIBCORE_RANDOM_H_
--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -304,7 +304,7 @@
                                   std::uint32_t index,
                                   ReplicaRoom& room,
                                   bool is_alone) {
-  ItemDispatch dispatch{.attempt = MakeIdentifier("b"),
+  ItemDispatch dispatch{.attempt = MakeIdentifier("b", this->random),
                         .item = {.job = job.id, .index = index},
                         .body_offset = job.BodyOffset(index),
                         .epoch = this->own_epoch,
@@ -372,6 +372,7 @@
     this->offers["give-up " + RequestOf(item)] = {
         .daemon = {},
         .item = item,
+        .epoch = this->own_epoch,
         .result = {.job = job.id,
                    .index = index,
                    .succeeded = false,
@@ -486,6 +487,7 @@
   }
   entry->second = {.daemon = daemon,
                    .item = *item,
+                   .epoch = held.execute.epoch,
                    .result = {.job = item->job,
                               .index = item->index,
                               .succeeded = true,
@@ -534,10 +536,14 @@
   for (auto offer = this->offers.begin(); offer != this->offers.end();) {
     const auto& [attempt, state] = *offer;
     const Job* job = ledger.FindJob(state.item.job);
-    // A job that replay does not know yet may only be unknown because this
-    // process is behind; the owner is not.
+    // Replay may not know the job yet because this process is behind. The jobs
+    // of attempts of earlier epochs lie before the own claim in the stream, and
+    // those of the own epoch were replayed here. A later epoch belongs to a
+    // successor whose claim an owner that was paused has not read yet.
+    const bool is_forgotten = this->is_owner() && this->has_reached_end &&
+                              state.epoch <= this->own_epoch;
     const bool is_over =
-        job == nullptr ? this->is_owner() && this->has_reached_end
+        job == nullptr ? is_forgotten
                        : job->is_closed() || job->IsFinished(state.item.index);
     if (!is_over) {
       ++offer;
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -230,6 +230,8 @@
   struct Offer {
     std::string daemon;
     ItemKey item;
+    /// Epoch in which the attempt was sent.
+    std::uint64_t epoch = 0;
     records::ItemResult result;
     bool is_written = false;
   };
--- a/Tests/LibLedger/partition_owner_test.cc
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -150,7 +150,8 @@
         } else {
           const messages::HeldResult held{
               .execute = {.attempt = id,
-                          .request = RequestOf(attempt.dispatch.item)},
+                          .request = RequestOf(attempt.dispatch.item),
+                          .epoch = attempt.dispatch.epoch},
               .done = {.attempt = id,
                        .complete = true,
                        .checksum = HashBytes(AnswerTo(index))},
@@ -410,6 +411,71 @@
   }));
 }
 
+TEST_GROUP(PartitionOwner_UnknownJob) {
+  TimePoint now{std::chrono::seconds(1)};
+  PartitionLedger ledger;
+  PartitionOwner owner{
+      {.name = "n0", .incarnation = 1}, ChooseFairEarliestDue, 1, this->now};
+  std::uint64_t epoch = 0;
+
+  void setup() override {
+    constexpr std::uint64_t kClaimOffset = 1;
+    this->ledger.Apply(
+        kClaimOffset,
+        Encode(MakeAppend("n0", {MakeEnvelope(records::Claim{
+                                    .owner = "n0", .incarnation = 1})})));
+    this->owner.OnReplay(this->ledger, true, this->now);
+    this->epoch = this->owner.owned_epoch();
+  }
+
+  std::size_t CountConfirmedAfterOffer(std::uint64_t attempt_epoch) {
+    const std::string text = "answer";
+    this->owner.OnOffer(
+        "d0",
+        {.execute = {.attempt = "a",
+                     .request = RequestOf({.job = "unknown", .index = 0}),
+                     .epoch = attempt_epoch},
+         .done = {.attempt = "a",
+                  .complete = true,
+                  .checksum = HashBytes(text)},
+         .text = text},
+        this->now);
+    this->owner.OnReplay(this->ledger, true, this->now);
+    return this->owner.TakeOutput(this->ledger, this->now).confirm.size();
+  }
+};
+
+// Guards against an owner that resumes after a pause and lets a daemon drop
+// the result of a job that only its successor has replayed.
+TEST(PartitionOwner_UnknownJob, ResultOfALaterEpochIsNotConfirmed) {
+  CHECK(this->owner.is_owner());
+  CHECK_EQUAL(0, this->CountConfirmedAfterOffer(this->epoch + 1));
+}
+
+// Guards against a daemon that holds the result of a forgotten job for ever.
+TEST(PartitionOwner_UnknownJob, ResultOfTheOwnEpochIsConfirmed) {
+  CHECK(this->owner.is_owner());
+  CHECK_EQUAL(1, this->CountConfirmedAfterOffer(this->epoch));
+}
+
+// Guards against randomised runs that differ although their seed is the same.
+TEST_GROUP(PartitionOwner_SameSeed){};
+
+TEST(PartitionOwner_SameSeed, AttemptsHaveTheSameIdentifiers) {
+  const auto attempts = [] {
+    Simulation simulation(1);
+    while (simulation.daemons["d0"].running.empty()) {
+      simulation.Step();
+    }
+    std::vector<std::string> ids;
+    for (const auto& [id, attempt] : simulation.daemons["d0"].running) {
+      ids.push_back(id);
+    }
+    return ids;
+  };
+  CHECK(attempts() == attempts());
+}
+
 TEST_GROUP(PartitionOwner_TwoEntries) {
   Simulation simulation{2};
 
