Run the whole system at random in virtual time with crocus-fuzz

Cause: the ledgers, owners, writers and daemons were fuzzed apart; nothing showed that they hold together under crashes, pauses, cuts and log faults. Change: crocus-fuzz runs entries, daemons, operators and a faulty log in virtual time; an oracle that replays every record checks the invariants, and quiet times check that everything accepted comes to its end. A harness fault, replies that reached the next incarnation of a process, was found and fixed on the way. Not covered: trimming of the log, online results in the log.

--- /dev/null
+++ b/Utilities/Fuzz/daemon_node.h
@@ -0,0 +1,81 @@
+#ifndef FUZZ_DAEMON_NODE_H_
+#define FUZZ_DAEMON_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibCore/random.h"
+#include "LibPolicy/daemon_decisions.h"
+#include "event_loop.h"
+#include "oracle.h"
+
+namespace crocus {
+
+struct DaemonNodeOptions {
+  std::string name;
+  std::vector<std::string> replicas;
+  std::string model;
+  std::uint32_t slots = 3;
+};
+
+/// A daemon and the engines behind it: the real decisions, a simulated engine.
+class DaemonNode {
+ public:
+  using Sender = std::function<void(const OutgoingMessage& message)>;
+
+  DaemonNode(EventLoop& loop,
+             Oracle& oracle,
+             DaemonNodeOptions options,
+             std::uint64_t seed,
+             Sender sender);
+
+  /// Starts a new incarnation.
+  void Start();
+  /// Ends the process and the streams of its engines.
+  void Crash();
+
+  void Connect(ConnectionId connection);
+  void Disconnect(ConnectionId connection);
+  void Execute(ConnectionId connection, const messages::Execute& execute);
+  void Revoke(ConnectionId connection,
+              std::uint64_t correlation,
+              const std::string& attempt);
+  void Confirm(const std::vector<std::string>& attempts);
+  void AcceptRules(const messages::RulesPush& push);
+  void SetLeaving(bool is_leaving);
+
+  NodeState& node() { return this->state; }
+  const std::string& name() const { return this->options.name; }
+  std::size_t held_count() const { return this->decisions->held_count(); }
+
+ private:
+  struct Stream {
+    EngineRun run;
+    messages::Execute execute;
+    std::uint32_t next = 0;
+    bool is_cancelled = false;
+  };
+
+  void Perform(const DaemonActions& actions);
+  void BeginStream(const EngineRun& run);
+  void Advance(std::uint64_t number);
+  void End(std::uint64_t number, const StreamOutcome& outcome);
+  void Tick();
+
+  EventLoop& loop;
+  Oracle& oracle;
+  const DaemonNodeOptions options;
+  Random random;
+  Sender sender;
+  NodeState state;
+  std::unique_ptr<DaemonDecisions> decisions;
+  std::map<std::uint64_t, Stream> streams;
+};
+
+}  // namespace crocus
+
+#endif  // FUZZ_DAEMON_NODE_H_
--- /dev/null
+++ b/Utilities/Fuzz/entry_node.h
@@ -0,0 +1,159 @@
+#ifndef FUZZ_ENTRY_NODE_H_
+#define FUZZ_ENTRY_NODE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/random.h"
+#include "LibLedger/append_queue.h"
+#include "LibLedger/ledger_reader.h"
+#include "LibLedger/partition_owner.h"
+#include "LibLedger/rules_ledger.h"
+#include "LibPolicy/daemon_actions.h"
+#include "event_loop.h"
+#include "oracle.h"
+#include "virtual_log.h"
+
+namespace crocus {
+
+/// What an entry sends to a daemon.
+struct EntryMessage {
+  std::optional<messages::Execute> execute;
+  std::optional<messages::Revoke> revoke;
+  std::uint64_t correlation = 0;
+  std::optional<messages::ConfirmResults> confirm;
+  std::optional<messages::RulesPush> rules;
+};
+
+/// An entry: the real ledgers, owners and writers, with a simple caller side.
+class EntryNode {
+ public:
+  /// Sends to a daemon by its name; returns false if there is no connection.
+  using Sender =
+      std::function<bool(const std::string& daemon, const EntryMessage&)>;
+
+  EntryNode(EventLoop& loop,
+            Oracle& oracle,
+            VirtualLog& log,
+            std::string name,
+            std::uint32_t partitions,
+            std::uint64_t seed,
+            Sender sender);
+
+  void Start();
+  void Crash();
+
+  void OnOpen(const std::string& daemon);
+  void OnLost(const std::string& daemon);
+  void OnMessage(const std::string& daemon, const OutgoingMessage& message);
+  void OnHeartbeat(const std::string& name, std::uint64_t incarnation);
+
+  void Submit(const std::string& job, const std::vector<Oracle::Item>& items);
+  void Cancel(const std::string& job);
+  /// Runs an online request until it is answered or its patience is over.
+  void RunOnline(const std::string& request, bool is_repeatable);
+
+  NodeState& node() { return this->state; }
+  const std::string& name() const { return this->own_name; }
+  std::uint64_t rules_version() const { return this->rules->version(); }
+
+ private:
+  struct Partition {
+    std::uint32_t number = 0;
+    LedgerReader reader;
+    PartitionOwner owner;
+    AppendQueue queue;
+    bool is_writing = false;
+    bool is_reading = false;
+    bool is_log_available = true;
+    TimePoint next_read{};
+    std::optional<std::uint64_t> claim_token;
+    std::map<std::uint64_t, std::function<void(std::uint64_t)>> callbacks;
+    std::uint64_t bytes_since_snapshot = 0;
+    std::uint64_t released_epoch = 0;
+  };
+  /// A caller that waits until replay has passed an offset.
+  struct Waiting {
+    std::uint64_t offset = 0;
+    std::string job;
+    bool is_cancel = false;
+  };
+  struct DaemonView {
+    std::vector<messages::ReplicaLoad> replicas;
+  };
+  struct OnlineCall {
+    std::string request;
+    std::string prompt;
+    std::uint32_t tokens = 0;
+    bool is_repeatable = true;
+    TimePoint deadline{};
+    std::string daemon;
+    std::string text;
+    std::uint32_t received = 0;
+    bool is_revoked = false;
+  };
+
+  void Tick();
+  void ReadPartition(Partition& partition);
+  void Pump(Partition& partition);
+  std::vector<PeerView> PeerViews() const;
+  void Claim(Partition& partition);
+  void HandOver(Partition& partition);
+  void Dispatch(Partition& partition);
+  void SendItem(Partition& partition, const ItemDispatch& dispatch);
+  void WriteOutput(Partition& partition);
+  void WriteSnapshot(Partition& partition);
+  void Answer(Partition& partition);
+  std::optional<std::uint64_t> Add(
+      Partition& partition,
+      records::Envelope envelope,
+      std::function<void(std::uint64_t)> on_written = {});
+  std::vector<ReplicaRoom> MakeRooms() const;
+  void OnDone(const messages::AttemptDone& done);
+  void StartOnline(OnlineCall call);
+  void ExpireOnline();
+  void ReadRules();
+
+  EventLoop& loop;
+  Oracle& oracle;
+  VirtualLog& log;
+  const std::string own_name;
+  const std::uint32_t partition_count;
+  Random random;
+  Sender sender;
+  NodeState state;
+  std::uint64_t next_token = 1;
+  std::uint64_t next_attempt = 1;
+  std::uint64_t next_correlation = 1;
+
+  std::vector<std::unique_ptr<Partition>> partitions;
+  /// One partition at a time is handed over.
+  TimePoint hand_over_until{};
+  std::vector<Waiting> waiting;
+  std::map<std::string, PeerView> peers;
+  std::map<std::string, DaemonView> daemons;
+  /// Batch attempts: daemon, replica and partition.
+  struct BatchAttempt {
+    std::string daemon;
+    std::string replica;
+    std::uint32_t partition = 0;
+    bool is_alone = false;
+  };
+  std::map<std::string, BatchAttempt> batch_attempts;
+  std::map<std::string, std::string> requests;
+  std::map<std::string, OnlineCall> online;
+  std::map<std::uint64_t, std::string> revokes;
+  std::unique_ptr<RulesLedger> rules;
+  bool is_reading_rules = false;
+  TimePoint next_rules_read{};
+};
+
+}  // namespace crocus
+
+#endif  // FUZZ_ENTRY_NODE_H_
--- /dev/null
+++ b/Utilities/Fuzz/rules_operator.cc
@@ -0,0 +1,102 @@
+#include "rules_operator.h"
+
+#include <utility>
+
+#include "LibLedger/append.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kReadInterval = std::chrono::milliseconds(300);
+
+}  // namespace
+
+RulesOperator::RulesOperator(EventLoop& loop,
+                             Oracle& oracle,
+                             VirtualLog& log,
+                             std::string name,
+                             std::uint64_t seed)
+    : loop(loop),
+      oracle(oracle),
+      log(log),
+      name(std::move(name)),
+      queue({.writer = this->name}, this->name, seed) {
+  this->state.incarnation = 1;
+  this->Tick();
+}
+
+void RulesOperator::Publish() {
+  if (this->base) {
+    return;
+  }
+  this->base = this->ledger.version();
+  const std::string text = "workspace " + this->name + "-" +
+                           std::to_string(++this->publishes) + " share=2  # " +
+                           this->name + ": a randomised run\n";
+  const auto added = this->queue.Add(
+      this->publishes,
+      MakeEnvelope(records::RulesPublished{.base_version = *this->base,
+                                           .text = this->text,
+                                           .author = this->name}),
+      this->loop.now());
+  this->oracle.Check(added.has_value(), "the operator's queue is full");
+}
+
+void RulesOperator::Tick() {
+  if (!this->is_reading && this->next_read <= this->loop.now()) {
+    this->Read();
+  }
+  this->Pump();
+  this->loop.Post(this->state, kTickInterval, [this] { this->Tick(); });
+}
+
+void RulesOperator::Read() {
+  this->is_reading = true;
+  this->log.Read(
+      this->state, kRulesStream, this->ledger.next_offset(), 64,
+      [this](const auto& page) {
+        this->is_reading = false;
+        this->next_read = this->loop.now() + kReadInterval;
+        if (!page) {
+          return;
+        }
+        this->ledger.Apply(*page, [this](const PublishOutcome& outcome) {
+          if (this->base && outcome.append_id == this->queue.append_id()) {
+            this->oracle.OnPublishReported(*this->base, this->text,
+                                           outcome.is_accepted);
+            this->oracle.Check(
+                !outcome.is_accepted || outcome.version == *this->base + 1,
+                "an accepted publish has the wrong version");
+            this->base.reset();
+          }
+        });
+      });
+}
+
+void RulesOperator::Pump() {
+  if (this->is_writing) {
+    return;
+  }
+  const AppendStep step = this->queue.Next(this->loop.now());
+  if (step.kind == AppendStep::Kind::kWait) {
+    return;
+  }
+  this->is_writing = true;
+  if (step.kind == AppendStep::Kind::kAppend) {
+    this->log.Append(this->state, kRulesStream, step.data,
+                     [this](const auto& outcome) {
+                       this->is_writing = false;
+                       this->queue.OnAppend(outcome, this->loop.now());
+                     });
+  } else {
+    this->log.Read(this->state, kRulesStream, step.from, step.limit,
+                   [this](const auto& page) {
+                     this->is_writing = false;
+                     this->queue.OnRead(page, this->loop.now());
+                   });
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Utilities/Fuzz/rules_operator.h
@@ -0,0 +1,51 @@
+#ifndef FUZZ_RULES_OPERATOR_H_
+#define FUZZ_RULES_OPERATOR_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "LibLedger/append_queue.h"
+#include "LibLedger/rules_ledger.h"
+#include "event_loop.h"
+#include "oracle.h"
+#include "virtual_log.h"
+
+namespace crocus {
+
+/// An operator who publishes rules, one publish at a time.
+class RulesOperator {
+ public:
+  RulesOperator(EventLoop& loop,
+                Oracle& oracle,
+                VirtualLog& log,
+                std::string name,
+                std::uint64_t seed);
+
+  /// Publishes a change of the rules that the operator last read.
+  void Publish();
+
+ private:
+  void Tick();
+  void Read();
+  void Pump();
+
+  EventLoop& loop;
+  Oracle& oracle;
+  VirtualLog& log;
+  const std::string name;
+  NodeState state;
+  RulesLedger ledger;
+  AppendQueue queue;
+  bool is_reading = false;
+  bool is_writing = false;
+  TimePoint next_read{};
+  std::uint64_t publishes = 0;
+  /// Base version and append id of the publish in flight.
+  std::optional<std::uint64_t> base;
+  std::string text;
+};
+
+}  // namespace crocus
+
+#endif  // FUZZ_RULES_OPERATOR_H_
--- /dev/null
+++ b/Utilities/Fuzz/virtual_log.h
@@ -0,0 +1,80 @@
+#ifndef FUZZ_VIRTUAL_LOG_H_
+#define FUZZ_VIRTUAL_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibCore/random.h"
+#include "LibLedger/log_client.h"
+#include "event_loop.h"
+
+namespace crocus {
+
+/// Chances of a fault for one append.
+struct LogFaults {
+  bool is_out = false;
+  /// The append takes effect and its reply is lost.
+  double lost_reply = 0;
+  /// The caller's timeout passes first; the append may take effect later.
+  double late = 0;
+  double refused = 0;
+  Duration extra_delay{0};
+};
+
+/// The platform's log in virtual time.
+class VirtualLog {
+ public:
+  using AppendReply = std::function<void(Result<std::uint64_t>)>;
+  using ReadReply = std::function<void(Result<LogPage>)>;
+  /// Sees every record when it takes effect.
+  using Observer =
+      std::function<void(const std::string& stream, const LogRecord& record)>;
+
+  VirtualLog(EventLoop& loop, std::uint64_t seed, Observer observer)
+      : loop(loop), random(seed), observer(std::move(observer)) {}
+
+  void Append(const NodeState& node,
+              const std::string& stream,
+              const std::string& data,
+              AppendReply reply);
+  void Read(const NodeState& node,
+            const std::string& stream,
+            std::uint64_t from,
+            std::uint32_t limit,
+            ReadReply reply);
+
+  LogFaults& faults() { return this->current_faults; }
+  /// Trims records before `first`.
+  void Trim(const std::string& stream, std::uint64_t first);
+  /// All records that ever took effect, also trimmed ones.
+  const std::vector<LogRecord>& History(const std::string& stream) {
+    return this->streams[stream].records;
+  }
+  std::uint64_t append_count() const { return this->appends; }
+
+ private:
+  struct Stream {
+    std::vector<LogRecord> records;
+    std::uint64_t first = 1;
+  };
+
+  Duration Delay();
+  std::uint64_t TakeEffect(const std::string& stream, const std::string& data);
+  LogPage MakePage(const Stream& stream,
+                   std::uint64_t from,
+                   std::uint32_t limit) const;
+
+  EventLoop& loop;
+  Random random;
+  Observer observer;
+  LogFaults current_faults;
+  std::map<std::string, Stream> streams;
+  std::uint64_t appends = 0;
+};
+
+}  // namespace crocus
+
+#endif  // FUZZ_VIRTUAL_LOG_H_
