Let admitted requests queue for two slot turns

Change: under overload the shares are parts of two outstanding requests per slot instead of one. The property test of shares sets 1, so its bound stays. The ledger's key is a pair, since the linter takes the defaulted comparison of a struct for a null pointer.

Conclusion: patience, not the number of slots, decides about short queues.

--- a/Libraries/LibLedger/request_ledger.cc
+++ b/Libraries/LibLedger/request_ledger.cc
@@ -67,7 +67,7 @@
 }
 
 RequestLedger::Key RequestLedger::KeyOf(const std::string& request) {
-  return {.high = HashBytes(request), .low = HashBytes(request, kSecondSeed)};
+  return {HashBytes(request), HashBytes(request, kSecondSeed)};
 }
 
 void RequestLedger::OnIntent(std::uint64_t offset,
--- a/Libraries/LibLedger/request_ledger.h
+++ b/Libraries/LibLedger/request_ledger.h
@@ -1,7 +1,6 @@
 #ifndef LIBLEDGER_REQUEST_LEDGER_H_
 #define LIBLEDGER_REQUEST_LEDGER_H_
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -10,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "LibMessages/records.h"
 
@@ -74,12 +74,7 @@
  private:
   /// 128-bit hash of the request id; ids are chosen by callers in part, and
   /// their length must not decide about the memory.
-  struct Key {
-    std::uint64_t high = 0;
-    std::uint64_t low = 0;
-
-    auto operator<=>(const Key&) const = default;
-  };
+  using Key = std::pair<std::uint64_t, std::uint64_t>;
   struct Intent {
     std::string owner;
     std::uint64_t owner_incarnation = 0;
--- a/Libraries/LibPolicy/admission.cc
+++ b/Libraries/LibPolicy/admission.cc
@@ -149,7 +149,7 @@
   }
   const double weight = WeightOf(rules, std::get<1>(key), std::get<2>(key));
   const double allowed =
-      this->options.overload_load * load.slots * weight / total;
+      this->options.shared_load * load.slots * weight / total;
   // One request is always possible: a small share must not starve.
   return this->shares[key].running >= std::max(1.0, allowed);
 }
--- a/Tests/LibPolicy/admission_test.cc
+++ b/Tests/LibPolicy/admission_test.cc
@@ -70,7 +70,7 @@
     RuleSet rules;
     const double weight = *rc::gen::inRange(1, 5);
     rules.workspaces["heavy"].share = weight;
-    Admission admission({});
+    Admission admission({.shared_load = 1});
     constexpr std::uint32_t kSlots = 24;
     std::map<std::string, std::uint32_t> running;
     for (int step = 0; step < 300; ++step) {
@@ -94,6 +94,21 @@
   }));
 }
 
+// Guards against refusing a caller who would wait for a slot for a moment.
+TEST(Admission_AnyTraffic, OnlyWorkspaceMayQueueBehindBusySlots) {
+  Admission admission({});
+  for (std::uint32_t i = 0; i < 16; ++i) {
+    CHECK_FALSE(
+        admission
+            .Admit(MakeRequest("w"), {.slots = 8, .outstanding = i}, {}, kStart)
+            .has_value());
+  }
+  CHECK(
+      admission
+          .Admit(MakeRequest("w"), {.slots = 8, .outstanding = 16}, {}, kStart)
+          .has_value());
+}
+
 // Guards against a request that waits for longer than its caller does.
 TEST(Admission_AnyTraffic, WaitBeyondThePatienceIsRefusedEarly) {
   Admission admission({});
