Order batch jobs by share and due time and answer whether they finish in time

Change: BatchPlanner (LibPolicy) runs BatchOrder for each partition with the shares in force and observes item times and throughput of the entry. BatchStore passes it to PartitionOwner as the JobOrder, so LibLedger does not depend on LibPolicy. The virtual time of BatchOrder is kept per partition: shared, the workspace that is served most would level the differences between others. BatchOrder counts a chosen job as served, so PartitionOwner now shows it only jobs whose item can be sent, and asks once for each item sent. The reply of POST /v1/batches and the status of an open job carry the owner's expected_finish_ms and meets_due_time; before items ran for two seconds they are null and "unknown". Throughput does not fade while nothing runs.

Before: neither field existed; no share had an effect.

Conclusion: shares, due time and the admission answer are in use. The estimate covers the partitions of one entry and takes its share of the fleet as given.

--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 #include <utility>
 
+#include "LibCore/assertions.h"
 #include "LibCore/hashing.h"
 
 namespace crocus {
@@ -393,43 +394,80 @@
   }
   std::erase_if(this->paused_replicas,
                 [now](const auto& item) { return item.second <= now; });
-  std::map<std::string, std::uint32_t> workspaces;
-  for (const auto& [attempt, item] : this->running) {
-    ++workspaces[item.workspace];
-  }
   std::vector<JobView> views;
-  for (auto& [id, work] : this->works) {
-    const Job& job = *ledger.FindJob(id);
-    const bool has_item =
-        Peek(job, work, this->options.failure_limit).has_value();
+  std::set<std::string> models;
+  for (auto& view : this->OpenJobs(ledger)) {
+    const Job& job = *ledger.FindJob(view.id);
+    Work& work = this->works.at(view.id);
+    // Sorts items that have failed too often into their lists.
+    Peek(job, work, this->options.failure_limit);
     this->GiveUpHopeless(job, work);
     this->DispatchAlone(job, work, rooms, now, sent);
-    if (has_item) {
-      views.push_back({.id = id,
-                       .workspace = job.workspace,
-                       .due_ms = job.due_ms,
-                       .remaining = job.item_count - job.finished_count,
-                       .workspace_running = workspaces[job.workspace]});
+    if (Peek(job, work, this->options.failure_limit)) {
+      models.insert(job.model);
+      views.push_back(std::move(view));
+    }
+  }
+  // The order counts each job that it chooses as served, so it sees no job
+  // whose item could not be sent.
+  const auto drop_without_room = [&](const std::string& model) {
+    const auto is_of_model = [&](const JobView& view) {
+      return ledger.FindJob(view.id)->model == model;
+    };
+    const auto any = std::find_if(views.begin(), views.end(), is_of_model);
+    if (any != views.end() &&
+        this->FindRoom(*ledger.FindJob(any->id), rooms, now) == nullptr) {
+      std::erase_if(views, is_of_model);
     }
+  };
+  for (const auto& model : models) {
+    drop_without_room(model);
   }
   while (!views.empty()) {
     const std::size_t chosen = this->order(views);
     const Job& job = *ledger.FindJob(views[chosen].id);
     Work& work = this->works.at(job.id);
     const auto index = Peek(job, work, this->options.failure_limit);
-    ReplicaRoom* room = index ? this->FindRoom(job, rooms, now) : nullptr;
-    if (room == nullptr) {
-      views.erase(views.begin() + static_cast<std::ptrdiff_t>(chosen));
-      continue;
-    }
+    ReplicaRoom* room = this->FindRoom(job, rooms, now);
+    VERIFY(index.has_value() && room != nullptr);
     sent.push_back(this->Send(job, *index, *room, false));
+    ++views[chosen].running;
     for (auto& view : views) {
       view.workspace_running += view.workspace == job.workspace ? 1 : 0;
     }
+    if (!Peek(job, work, this->options.failure_limit)) {
+      views.erase(views.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    if (room->room == 0) {
+      for (const auto& model : room->models) {
+        drop_without_room(model);
+      }
+    }
   }
   return sent;
 }
 
+std::vector<JobView> PartitionOwner::OpenJobs(
+    const PartitionLedger& ledger) const {
+  std::map<std::string, std::uint32_t> workspaces;
+  std::map<std::string, std::uint32_t> jobs;
+  for (const auto& [attempt, item] : this->running) {
+    ++workspaces[item.workspace];
+    ++jobs[item.item.job];
+  }
+  std::vector<JobView> views;
+  for (const auto& [id, work] : this->works) {
+    const Job& job = *ledger.FindJob(id);
+    views.push_back({.id = id,
+                     .workspace = job.workspace,
+                     .due_ms = job.due_ms,
+                     .remaining = job.item_count - job.finished_count,
+                     .running = jobs[id],
+                     .workspace_running = workspaces[job.workspace]});
+  }
+  return views;
+}
+
 void PartitionOwner::OnNotSent(const std::string& attempt, TimePoint now) {
   this->OnFailed(attempt, Verdict::kNotRun, now);
 }
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -50,20 +50,24 @@
   bool operator==(const ReplicaRoom&) const = default;
 };
 
-/// What the order of dispatch may look at. Only jobs with an item to send are
-/// shown.
+/// What the order of dispatch may look at. Only jobs with an item to send, and
+/// a replica with room for it, are shown.
 struct JobView {
   std::string id;
   std::string workspace;
   std::int64_t due_ms = 0;
+  /// Items that are not finished, with those that run.
   std::uint32_t remaining = 0;
+  /// Items of the job that run now.
+  std::uint32_t running = 0;
   /// Items of the job's workspace that run now.
   std::uint32_t workspace_running = 0;
 
   bool operator==(const JobView&) const = default;
 };
 
-/// Chooses the job that sends the next item; the list is never empty.
+/// Chooses the job that sends the next item; the list is never empty. The item
+/// is always sent, so that the order may count it.
 using JobOrder = std::function<std::size_t(const std::vector<JobView>&)>;
 
 /// The workspace with the fewest running items, and its earliest due job.
@@ -194,6 +198,8 @@
                                      TimePoint now);
   /// True if a job of this partition is open.
   bool has_open_jobs() const { return !this->works.empty(); }
+  /// The open jobs, with or without an item to send.
+  std::vector<JobView> OpenJobs(const PartitionLedger& ledger) const;
 
   /// The attempt was not sent; the item waits again.
   void OnNotSent(const std::string& attempt, TimePoint now);
--- a/Services/Entry/batch_interface.cc
+++ b/Services/Entry/batch_interface.cc
@@ -23,6 +23,10 @@
 
 constexpr int kOk = 200;
 
+/// Value of meets_due_time if throughput is not known, or the owner is not
+/// reached; expected_finish_ms is null then.
+constexpr char kUnknown[] = "unknown";
+
 HttpResponse InvalidBatch(const std::string& message) {
   return RefusalResponse(
       {.status = 400, .code = "invalid_request", .message = message});
@@ -95,8 +99,19 @@
   if (const auto submitted = this->store.Submit(*input); !submitted) {
     return JobRefusal(submitted.error());
   }
-  return JsonResponse(202,
-                      {{"id", input->job}, {"items", input->items.size()}});
+  nlohmann::json reply = {{"id", input->job},
+                          {"items", input->items.size()},
+                          {"expected_finish_ms", nullptr},
+                          {"meets_due_time", kUnknown}};
+  // Only the owner of the partition can tell.
+  const auto status =
+      ParseJsonObject(this->Answer({.job = input->job, .what = "status"}).body);
+  for (const char* name : {"expected_finish_ms", "meets_due_time"}) {
+    if (status && status->contains(name)) {
+      reply[name] = (*status)[name];
+    }
+  }
+  return JsonResponse(202, reply);
 }
 
 HttpResponse BatchInterface::Status(const HttpRequest& request) {
@@ -173,12 +188,20 @@
   if (!job) {
     return JobRefusal(job.error());
   }
-  return JsonResponse(kOk, {{"id", job->id},
-                            {"state", ToString(job->state)},
-                            {"items", job->item_count},
-                            {"finished", job->finished_count},
-                            {"failed", job->failed_count},
-                            {"due_ms", job->due_ms}});
+  nlohmann::json reply = {{"id", job->id},
+                          {"state", ToString(job->state)},
+                          {"items", job->item_count},
+                          {"finished", job->finished_count},
+                          {"failed", job->failed_count},
+                          {"due_ms", job->due_ms}};
+  if (!job->is_closed()) {
+    const auto estimate = this->store.EstimateFinish(*job);
+    reply["expected_finish_ms"] =
+        estimate ? nlohmann::json(estimate->finish_ms) : nlohmann::json();
+    reply["meets_due_time"] = estimate ? nlohmann::json(estimate->meets_due)
+                                       : nlohmann::json(kUnknown);
+  }
+  return JsonResponse(kOk, reply);
 }
 
 HttpResponse BatchInterface::CancelHere(const std::string& id) {
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -54,16 +54,31 @@
   return daemon + " " + replica;
 }
 
+std::vector<JobSummary> Summarise(const std::vector<JobView>& jobs) {
+  std::vector<JobSummary> summaries;
+  for (const auto& job : jobs) {
+    summaries.push_back(
+        {.job = job.id,
+         .workspace = job.workspace,
+         .due_ms = job.due_ms,
+         .remaining_items =
+             job.remaining - std::min(job.remaining, job.running),
+         .running_items = job.running});
+  }
+  return summaries;
+}
+
 }  // namespace
 
 BatchStore::Partition::Partition(std::uint32_t number,
                                  std::uint32_t page_records,
                                  PartitionOwnerOptions options,
+                                 JobOrder order,
                                  std::uint64_t seed,
                                  TimePoint now)
     : number(number),
       reader(page_records),
-      owner(std::move(options), ChooseFairEarliestDue, seed, now) {}
+      owner(std::move(options), std::move(order), seed, now) {}
 
 BatchStore::BatchStore(const EntrySettings& settings,
                        std::uint64_t incarnation,
@@ -81,6 +96,12 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     this->partitions.push_back(std::make_unique<Partition>(
         i, kRecordsPerRead, MakeOwnerOptions(settings, incarnation, i),
+        [this, i](const std::vector<JobView>& jobs) {
+          const auto summaries = Summarise(jobs);
+          std::lock_guard lock(this->planner_mutex);
+          return this->planner.NextJob(i, summaries, MonotonicNow(),
+                                       UnixMilliseconds());
+        },
         SystemRandom(), MonotonicNow()));
     auto& partition = *this->partitions.back();
     partition.writer = std::make_unique<Writer>(
@@ -171,6 +192,34 @@
   return partition.reader.ledger().owner();
 }
 
+void BatchStore::SetRules(const std::shared_ptr<const RuleSet>& rules) {
+  std::lock_guard lock(this->planner_mutex);
+  this->planner.SetRules(*rules);
+}
+
+std::optional<FinishEstimate> BatchStore::EstimateFinish(const Job& job) {
+  const std::uint32_t number = this->PartitionFor(job.id);
+  std::map<std::uint32_t, std::vector<JobSummary>> open;
+  for (const auto& partition : this->partitions) {
+    std::lock_guard lock(partition->mutex);
+    if (partition->owner.is_owner()) {
+      open[partition->number] =
+          Summarise(partition->owner.OpenJobs(partition->reader.ledger()));
+    }
+  }
+  if (job.is_closed() || !open.contains(number)) {
+    return std::nullopt;
+  }
+  const JobSummary candidate{
+      .job = job.id,
+      .workspace = job.workspace,
+      .due_ms = job.due_ms,
+      .remaining_items = job.item_count - job.finished_count};
+  std::lock_guard lock(this->planner_mutex);
+  return this->planner.EstimateFinish(open, number, candidate, MonotonicNow(),
+                                      UnixMilliseconds());
+}
+
 std::vector<messages::OwnedPartition> BatchStore::OwnedPartitions() const {
   std::vector<messages::OwnedPartition> owned;
   for (const auto& partition : this->partitions) {
@@ -642,6 +691,9 @@
       const std::string key = RoomKey(item.daemon, item.replica);
       this->rooms.replicas[item.attempt] = key;
       ++this->rooms.counts[key];
+      std::lock_guard planner_lock(this->planner_mutex);
+      this->planner.OnStarted(item.attempt, partition.number, item.item.job,
+                              now);
       if (item.is_alone) {
         this->rooms.alone.insert(item.attempt);
       }
@@ -682,7 +734,7 @@
   }
   const auto fail = [this, &partition,
                      attempt = dispatch.attempt](Verdict verdict) {
-    this->EndAttempt(attempt);
+    this->EndAttempt(attempt, false);
     std::lock_guard lock(partition.mutex);
     partition.owner.OnFailed(attempt, verdict, MonotonicNow());
   };
@@ -707,7 +759,7 @@
       {.on_chunk = {},
        .on_done = [this, &partition, fail](const messages::AttemptDone& done) {
          if (done.complete) {
-           this->EndAttempt(done.attempt);
+           this->EndAttempt(done.attempt, true);
          } else {
            fail(done.verdict);
          }
@@ -718,7 +770,11 @@
   }
 }
 
-void BatchStore::EndAttempt(const std::string& attempt) {
+void BatchStore::EndAttempt(const std::string& attempt, bool is_finished) {
+  {
+    std::lock_guard lock(this->planner_mutex);
+    this->planner.OnEnded(attempt, is_finished, MonotonicNow());
+  }
   std::lock_guard lock(this->rooms_mutex);
   const auto found = this->rooms.replicas.find(attempt);
   if (found == this->rooms.replicas.end()) {
@@ -777,7 +833,7 @@
                        [this, attempt = place.attempt](Verdict verdict) {
                          // No end follows for an attempt that never started.
                          if (verdict == Verdict::kNotRun) {
-                           this->EndAttempt(attempt);
+                           this->EndAttempt(attempt, false);
                          }
                        });
   }
--- a/Services/Entry/batch_store.h
+++ b/Services/Entry/batch_store.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -19,6 +20,7 @@
 #include "LibLedger/log_writer.h"
 #include "LibLedger/partition_owner.h"
 #include "LibPlatform/http_log_client.h"
+#include "LibPolicy/batch_planner.h"
 #include "LibSettings/settings.h"
 
 namespace crocus {
@@ -70,6 +72,12 @@
                                                     std::uint64_t first,
                                                     std::uint64_t limit);
 
+  /// Shares of the workspaces come from `rules`.
+  void SetRules(const std::shared_ptr<const RuleSet>& rules);
+  /// When an open job finishes, as its owner expects it. Nothing if this entry
+  /// is not the owner, or has not run items for long enough to know.
+  std::optional<FinishEstimate> EstimateFinish(const Job& job);
+
   /// Name of the partition's owner, as replayed here.
   std::string OwnerOf(const std::string& job) const;
   std::uint32_t PartitionFor(const std::string& job) const;
@@ -117,6 +125,7 @@
     Partition(std::uint32_t number,
               std::uint32_t page_records,
               PartitionOwnerOptions options,
+              JobOrder order,
               std::uint64_t seed,
               TimePoint now);
   };
@@ -155,7 +164,7 @@
   void Carry(Partition& partition, std::int64_t unix_ms);
   void WriteSnapshot(Partition& partition);
   std::vector<ReplicaRoom> MakeRooms() const;
-  void EndAttempt(const std::string& attempt);
+  void EndAttempt(const std::string& attempt, bool is_finished);
   /// Wakes the follower of the partition, to read or only to act.
   void Poke(Partition& partition, bool must_read);
   /// Waits until the stream was read to its end after the call.
@@ -169,6 +178,9 @@
   PeerLink& peers;
   HttpLogClient log;
   BodyCache bodies;
+  /// Guards `planner`; taken last.
+  std::mutex planner_mutex;
+  BatchPlanner planner;
   std::vector<std::unique_ptr<Partition>> partitions;
   std::vector<std::unique_ptr<Follower>> followers;
   std::atomic<bool> is_stopping = false;
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -40,6 +40,7 @@
             [this](const messages::RulesPush& push) {
               this->fleet.PushRules(push);
               this->requests.SetRules(this->rules.Current());
+              this->batches.SetRules(this->rules.Current());
             }),
       rules_peers(this->io.context(),
                   this->settings.fleet.entries,
--- a/Tests/LibLedger/partition_owner_test.cc
+++ b/Tests/LibLedger/partition_owner_test.cc
@@ -625,6 +625,49 @@
   CHECK_FALSE(this->OwnerName().empty());
 }
 
+TEST_GROUP(JobOrder_ModelsWithoutRoom){};
+
+// Guards against an order that counts a job as served although no replica had
+// room for its item: its workspace would be passed over later.
+TEST(JobOrder_ModelsWithoutRoom, OrderIsAskedOnceForEachItemSent) {
+  const TimePoint now{std::chrono::seconds(1)};
+  PartitionLedger ledger;
+  std::vector<records::Envelope> envelopes = {
+      MakeEnvelope(records::Claim{.owner = "n0", .incarnation = 1})};
+  for (const std::string id : {"served", "waiting"}) {
+    records::JobItems items{.job = id};
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      items.items.push_back({.index = i, .prompt = "p"});
+    }
+    envelopes.push_back(
+        MakeEnvelope(records::JobBegin{.job = id, .model = "m-" + id}));
+    envelopes.push_back(MakeEnvelope(items));
+    envelopes.push_back(
+        MakeEnvelope(records::JobCommit{.job = id, .item_count = 5}));
+  }
+  ledger.Apply(1, Encode(MakeAppend("n0", std::move(envelopes))));
+  std::vector<std::string> asked;
+  PartitionOwner owner(
+      {.name = "n0", .incarnation = 1},
+      [&asked](const std::vector<JobView>& jobs) {
+        asked.push_back(jobs.front().id);
+        CHECK_EQUAL(1, jobs.size());
+        CHECK_EQUAL(asked.size() - 1, jobs.front().running);
+        return std::size_t{0};
+      },
+      1, now);
+  owner.OnReplay(ledger, true, now);
+  std::vector<ReplicaRoom> rooms = {
+      {.replica = "r", .models = {"m-served"}, .room = 3},
+      {.replica = "full", .models = {"m-waiting"}, .room = 0}};
+  CHECK_EQUAL(3, owner.Dispatch(ledger, rooms, now).size());
+  CHECK(asked == std::vector<std::string>(3, "served"));
+  const auto open = owner.OpenJobs(ledger);
+  CHECK_EQUAL(2, open.size());
+  CHECK_EQUAL(3, open[0].running);
+  CHECK_EQUAL(0, open[1].running);
+}
+
 TEST_GROUP(JobOrder_TwoWorkspaces){};
 
 // Guards against one workspace's large job that keeps another one waiting.
