Read only the batch streams that an entry needs

Change: an entry follows a stream while it owns the partition, has not heard its owner for half of the heartbeat timeout, has a claim pending, holds a result of the partition, or the log was away at the last read. Otherwise it reads the stream only for a submit, a cancel, or a query that the owner does not answer. The owner is known from the heartbeats, which list owned partitions and epochs; an epoch below the replayed one is ignored. Replay counts as current only after a read that started since following began, so claims and confirmations never rest on an old state. GET /v1/status counts reads and bytes.

An entry that has not replayed the last change of owner counts silence from its first read, so such a takeover may take half a timeout longer than before.

--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -178,6 +178,11 @@
   /// reached the end of the stream.
   void OnReplay(PartitionLedger& ledger, bool is_current, TimePoint now);
 
+  /// True from a claim until replay shows a new owner or it is withdrawn.
+  bool is_claim_pending() const { return this->claimed_epoch.has_value(); }
+  /// True if a result is held that is not known to be in the log.
+  bool has_offers() const { return !this->offers.empty(); }
+
   bool is_owner() const { return this->own_epoch != 0; }
   std::uint64_t owned_epoch() const { return this->own_epoch; }
 
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -188,8 +188,10 @@
 
 std::string BatchStore::OwnerOf(const std::string& job) const {
   const auto& partition = this->PartitionOfJob(job);
+  const auto hint = this->peers.OwnerOf(partition.number);
   std::lock_guard lock(partition.mutex);
-  return partition.reader.ledger().owner();
+  const auto& ledger = partition.reader.ledger();
+  return hint && hint->epoch > ledger.epoch() ? hint->name : ledger.owner();
 }
 
 void BatchStore::SetRules(const std::shared_ptr<const RuleSet>& rules) {
@@ -242,6 +244,11 @@
   if (is_accepted()) {
     return {};
   }
+  // An outage is not noticed while the stream is not read.
+  this->RefreshUnlessFresh(partition);
+  if (is_accepted()) {
+    return {};
+  }
   {
     std::lock_guard lock(partition.mutex);
     if (!partition.is_log_available) {
@@ -339,6 +346,7 @@
              .closed_offset = found->closed_offset};
     return copy;
   };
+  this->RefreshUnlessFresh(partition);
   if (auto found = find()) {
     return *found;
   }
@@ -383,7 +391,7 @@
     if (run.offset != last_offset) {
       TRY_ASSIGN(
           const LogPage page,
-          this->log.Read(PartitionStream(partition.number), run.offset, 1));
+          this->ReadLog(PartitionStream(partition.number), run.offset, 1));
       if (page.records.empty() || page.records[0].offset != run.offset) {
         return Failure(ErrorCode::kUnavailable,
                        "results are being moved in the log");
@@ -453,6 +461,16 @@
   });
 }
 
+void BatchStore::RefreshUnlessFresh(Partition& partition) {
+  {
+    std::lock_guard lock(partition.mutex);
+    if (partition.is_fresh()) {
+      return;
+    }
+  }
+  this->Refresh(partition, this->settings.batch.heartbeat_timeout);
+}
+
 void BatchStore::OnOffer(const std::string& daemon,
                          const messages::OfferResults& offer) {
   for (const auto& held : offer.results) {
@@ -473,19 +491,16 @@
   while (!this->is_stopping) {
     TimePoint next = MonotonicNow() + kLongestRound;
     for (Partition* partition : follower.partitions) {
-      bool must_read = false;
-      {
-        std::lock_guard lock(partition->mutex);
-        must_read =
-            partition->must_read || partition->next_read <= MonotonicNow();
-      }
-      if (must_read) {
+      if (this->UpdateFollowing(*partition)) {
         this->Read(*partition);
       }
       this->Tick(*partition);
       std::lock_guard lock(partition->mutex);
-      next = std::min(
-          next, partition->must_read ? TimePoint() : partition->next_read);
+      if (partition->must_read) {
+        next = TimePoint();
+      } else if (partition->is_followed) {
+        next = std::min(next, partition->next_read);
+      }
     }
     std::this_thread::sleep_for(kShortestRound);
     std::unique_lock lock(follower.mutex);
@@ -496,6 +511,41 @@
   }
 }
 
+Result<LogPage> BatchStore::ReadLog(const std::string& stream,
+                                    std::uint64_t from,
+                                    std::uint32_t limit) {
+  auto page = this->log.Read(stream, from, limit);
+  ++this->read_count;
+  if (page) {
+    for (const auto& record : page->records) {
+      this->read_bytes += record.data.size();
+    }
+  }
+  return page;
+}
+
+bool BatchStore::UpdateFollowing(Partition& partition) {
+  const auto hint = this->peers.OwnerOf(partition.number);
+  const TimePoint now = MonotonicNow();
+  std::lock_guard lock(partition.mutex);
+  // Half of the timeout leaves time to catch up before a claim is due. An older
+  // epoch than the replayed one is told by an owner that was replaced.
+  const bool is_owner_heard =
+      hint && now < hint->heard + this->settings.batch.heartbeat_timeout / 2 &&
+      hint->epoch >= partition.reader.ledger().epoch();
+  const bool must_follow = !is_owner_heard || partition.owner.is_owner() ||
+                           partition.owner.is_claim_pending() ||
+                           partition.owner.has_offers() ||
+                           !partition.is_log_available;
+  if (must_follow && !partition.is_followed) {
+    partition.reads_before_following = partition.reads_started;
+    partition.next_read = now;
+    partition.read_delay = Duration(0);
+  }
+  partition.is_followed = must_follow;
+  return partition.must_read || (must_follow && partition.next_read <= now);
+}
+
 void BatchStore::Read(Partition& partition) {
   std::uint64_t from = 0;
   std::uint32_t limit = 0;
@@ -509,7 +559,7 @@
     number = ++partition.reads_started;
   }
   const auto stream = PartitionStream(partition.number);
-  const auto page = this->log.Read(stream, from, limit);
+  const auto page = this->ReadLog(stream, from, limit);
   std::unique_lock lock(partition.mutex);
   const TimePoint now = MonotonicNow();
   const bool was_available =
@@ -559,7 +609,7 @@
     std::lock_guard lock(partition.mutex);
     const std::uint64_t before = partition.owner.owned_epoch();
     auto& ledger = partition.reader.ledger();
-    partition.owner.OnReplay(ledger, partition.reader.is_current(), now);
+    partition.owner.OnReplay(ledger, partition.is_fresh(), now);
     const std::uint64_t after = partition.owner.owned_epoch();
     if (before != after) {
       const bool is_claimed = after != 0;
@@ -718,8 +768,8 @@
       this->bodies.Find(partition.number, dispatch.body_offset, dispatch.item);
   Verdict failed_verdict = Verdict::kNotRun;
   if (!body) {
-    const auto page = this->log.Read(PartitionStream(partition.number),
-                                     dispatch.body_offset, 1);
+    const auto page = this->ReadLog(PartitionStream(partition.number),
+                                    dispatch.body_offset, 1);
     if (page && !page->records.empty() &&
         page->records[0].offset == dispatch.body_offset) {
       this->bodies.Put(partition.number, dispatch.body_offset,
@@ -947,7 +997,7 @@
   }
   for (const auto& move : moves) {
     const auto page =
-        this->log.Read(PartitionStream(partition.number), move.offset, 1);
+        this->ReadLog(PartitionStream(partition.number), move.offset, 1);
     if (!page || page->records.empty() ||
         page->records[0].offset != move.offset) {
       continue;
--- a/Services/Entry/batch_store.h
+++ b/Services/Entry/batch_store.h
@@ -42,9 +42,13 @@
 /// Batch partitions as this entry sees them: replays every stream, owns some
 /// of the partitions and runs their items. Thread-safe.
 ///
-/// Threads follow the streams; each partition belongs to one of them. An idle
-/// stream is read ever less often, and at once when something was written to
-/// it here or another entry tells of a write.
+/// Threads follow the streams; each partition belongs to one of them. A stream
+/// is followed while this entry owns the partition, may have to claim it or
+/// holds a result of it; otherwise it is read only for a local query that the
+/// owner does not answer, a submit or a cancel. With a read of every stream at
+/// every entry, the log would send each record as often as there are entries.
+/// An idle stream is read ever less often, and at once when something was
+/// written to it here or another entry tells of a write.
 class BatchStore {
  public:
   BatchStore(const EntrySettings& settings,
@@ -83,6 +87,11 @@
   std::uint32_t PartitionFor(const std::string& job) const;
   std::vector<messages::OwnedPartition> OwnedPartitions() const;
 
+  /// Reads of the log so far and the bytes of their records, without those of
+  /// the writers, which look for lost replies.
+  std::uint64_t log_reads() const { return this->read_count; }
+  std::uint64_t log_read_bytes() const { return this->read_bytes; }
+
   /// Called when load figures arrive: items may be sent.
   void Wake();
   /// Reads the partition's stream now.
@@ -101,7 +110,11 @@
     std::condition_variable has_read;
     LedgerReader reader;
     PartitionOwner owner;
-    bool must_read = true;
+    bool must_read = false;
+    /// The stream is read to its end again and again.
+    bool is_followed = false;
+    /// Value of reads_started when following began.
+    std::uint64_t reads_before_following = 0;
     bool must_tick = true;
     TimePoint next_read{};
     Duration read_delay{};
@@ -122,6 +135,12 @@
     std::uint32_t carry_pending = 0;
     std::uint64_t carry_replayed_at = 0;
 
+    /// True if replay reached the end since following began.
+    bool is_fresh() const {
+      return this->is_followed && this->reader.is_current() &&
+             this->reads_done > this->reads_before_following;
+    }
+
     Partition(std::uint32_t number,
               std::uint32_t page_records,
               PartitionOwnerOptions options,
@@ -149,6 +168,11 @@
   };
 
   void Run(Follower& follower);
+  Result<LogPage> ReadLog(const std::string& stream,
+                          std::uint64_t from,
+                          std::uint32_t limit);
+  /// Starts or stops following the stream; true if it must be read now.
+  bool UpdateFollowing(Partition& partition);
   void Read(Partition& partition);
   void Tick(Partition& partition);
   void Claim(Partition& partition, TimePoint now);
@@ -169,6 +193,9 @@
   void Poke(Partition& partition, bool must_read);
   /// Waits until the stream was read to its end after the call.
   bool Refresh(Partition& partition, Duration limit);
+  /// Reads the stream to its end if it is not followed. Without the log, what
+  /// was replayed before stays.
+  void RefreshUnlessFresh(Partition& partition);
   /// Queues a record whose callback reads the stream.
   bool Write(Partition& partition, records::Envelope envelope);
   Partition& PartitionOfJob(const std::string& job) const;
@@ -184,6 +211,8 @@
   std::vector<std::unique_ptr<Partition>> partitions;
   std::vector<std::unique_ptr<Follower>> followers;
   std::atomic<bool> is_stopping = false;
+  std::atomic<std::uint64_t> read_count = 0;
+  std::atomic<std::uint64_t> read_bytes = 0;
   /// Until when a partition is being handed over, as ticks of TimePoint.
   std::atomic<TimePoint::rep> hand_over_until = 0;
 
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -204,6 +204,8 @@
           {"http_port", this->http_port()},
           {"internal_port", this->internal_port()},
           {"log_url", this->settings.platform.log_url},
+          {"batch_log_reads", this->batches.log_reads()},
+          {"batch_log_read_bytes", this->batches.log_read_bytes()},
           {"leaving", this->is_leaving.load()}};
 }
 
--- a/Services/Entry/peer_link.cc
+++ b/Services/Entry/peer_link.cc
@@ -100,6 +100,20 @@
   return views;
 }
 
+std::optional<PeerLink::OwnerHint> PeerLink::OwnerOf(
+    std::uint32_t partition) const {
+  std::lock_guard lock(this->mutex);
+  std::optional<OwnerHint> newest;
+  for (const auto& [name, peer] : this->known) {
+    const auto owned = peer.partitions.find(partition);
+    if (owned != peer.partitions.end() &&
+        (!newest || owned->second > newest->epoch)) {
+      newest = {.name = name, .epoch = owned->second, .heard = peer.view.heard};
+    }
+  }
+  return newest;
+}
+
 void PeerLink::OnHeartbeat(const messages::Heartbeat& heartbeat,
                            const std::string& from_address) {
   if (heartbeat.name == this->settings.host.name) {
@@ -119,6 +133,10 @@
                .incarnation = heartbeat.incarnation,
                .heard = now,
                .since = is_steady ? peer.view.since : now};
+  peer.partitions.clear();
+  for (const auto& owned : heartbeat.partitions) {
+    peer.partitions[owned.partition] = owned.epoch;
+  }
   peer.address =
       (from_address.find(':') == std::string::npos ? from_address
                                                    : "[" + from_address + "]") +
--- a/Services/Entry/peer_link.h
+++ b/Services/Entry/peer_link.h
@@ -46,6 +46,15 @@
                      QueryHandler on_query);
   void Stop();
 
+  /// Who owns a partition as its heartbeats tell.
+  struct OwnerHint {
+    std::string name;
+    std::uint64_t epoch = 0;
+    TimePoint heard;
+  };
+  /// The newest epoch that an entry told of; nothing if none did.
+  std::optional<OwnerHint> OwnerOf(std::uint32_t partition) const;
+
   /// Entries heard so far.
   std::vector<PeerView> peers() const;
 
@@ -61,6 +70,8 @@
   struct Peer {
     PeerView view;
     std::string address;
+    /// Epochs of the partitions that it owns.
+    std::map<std::uint32_t, std::uint64_t> partitions;
   };
   struct Pending {
     std::string peer_address;
