--- a/Libraries/LibSimulation/entry_route.cc
+++ b/Libraries/LibSimulation/entry_route.cc
@@ -1,5 +1,3 @@
-#if __has_include("LibPolicy/hedge_policy.h")
-
 #include "LibSimulation/entry_route.h"
 
 #include <algorithm>
@@ -133,5 +131,3 @@
 }
 
 }  // namespace crocus
-
-#endif
--- a/Libraries/LibSimulation/experiments.cc
+++ b/Libraries/LibSimulation/experiments.cc
@@ -5,9 +5,7 @@
 
 #include "LibCore/assertions.h"
 #include "LibCore/random.h"
-#if __has_include("LibPolicy/hedge_policy.h")
 #include "LibSimulation/entry_route.h"
-#endif
 #include "LibSimulation/fleet_simulation.h"
 #include "LibSimulation/pass_through_gate.h"
 #include "LibSimulation/plain_gate.h"
@@ -16,12 +14,7 @@
 
 namespace {
 
-#if __has_include("LibPolicy/hedge_policy.h")
 using ChosenRoute = EntryRoute;
-#else
-// FIXME: Remove once the entry's router is on this branch.
-using ChosenRoute = LeastOutstandingRoute;
-#endif
 
 /// Targets of docs/design.md, section 7.
 constexpr double kMixedFirstTokenLimit = 1.05;
