--- a/Libraries/LibPolicy/gate.h
+++ b/Libraries/LibPolicy/gate.h
@@ -110,7 +110,8 @@
   std::uint32_t online_waiting() const {
     return static_cast<std::uint32_t>(this->online_queue.size());
   }
-  /// Long online attempts that hold a slot.
+  /// Long online attempts that hold a slot, also those that are being
+  /// suspended.
   std::uint32_t long_running() const;
   /// Slots that long online attempts may hold.
   std::uint32_t long_slots() const;
