Use prefix affinity for replicas with a free slot only

Cause: a request followed its cached prefix to a replica whose slots were all taken while others had free ones; the load bound is relative to the mean. Change: the bound is at most the slots of the replica.

--- a/Libraries/LibPolicy/router.cc
+++ b/Libraries/LibPolicy/router.cc
@@ -252,7 +252,9 @@
   std::uint64_t best_weight = 0;
   for (const std::size_t index : local) {
     const RouteCandidate& candidate = candidates[index];
-    if (this->LoadOf(candidate, now) + 1 > bound) {
+    // A cached prefix saves less time than a wait for a slot costs.
+    if (this->LoadOf(candidate, now) + 1 >
+        std::min(bound, static_cast<double>(candidate.slots))) {
       continue;
     }
     if (hint != this->hints.end() && hint->second == candidate.replica) {
