Spill at once to a free slot when the own region has none

Cause: spill-over is drawn by the smoothed gain, so a burst was mostly over before the requests that waited went to free slots of other regions. Change: a request that would wait, while a replica of another region has a free slot, skips the draw; minimum gain, share and refusals bound it as before.

--- a/Libraries/LibPolicy/router.cc
+++ b/Libraries/LibPolicy/router.cc
@@ -156,6 +156,11 @@
   return candidate.outstanding + others * Clamp01(1 - age);
 }
 
+bool Router::HasFreeSlot(const RouteCandidate& candidate,
+                         TimePoint now) const {
+  return this->LoadOf(candidate, now) + 1 <= candidate.slots;
+}
+
 double Router::CostOf(const RouteCandidate& candidate,
                       const RouteRequest& request,
                       TimePoint now) const {
@@ -295,7 +300,12 @@
     if (local) {
       gain = this->CostOf(candidates[*local], request, now) - cost;
     }
-    if (this->TakeSpill(this->spills[region], rule->second, gain, now) &&
+    // A free slot elsewhere is not overloaded by a request that would wait.
+    const bool is_free =
+        local && !this->HasFreeSlot(candidates[*local], now) &&
+        this->HasFreeSlot(candidates[*remote], now);
+    if (this->TakeSpill(this->spills[region], rule->second, gain, is_free,
+                        now) &&
         (!best || cost < best_cost)) {
       best = remote;
       best_cost = cost;
@@ -307,6 +317,7 @@
 bool Router::TakeSpill(Spill& spill,
                        const SpillRule& rule,
                        std::optional<double> gain,
+                       bool is_free,
                        TimePoint now) {
   const double elapsed =
       spill.updated == TimePoint{} ? 0 : ToSeconds(now - spill.updated);
@@ -325,7 +336,8 @@
     // The probability rises with the smoothed gain, so that the traffic does
     // not move to and fro between regions as a whole.
     const double excess = minimum > 0 ? spill.smoothed_gain / minimum - 1 : 1;
-    if (*gain <= minimum || !this->random.Chance(Clamp01(excess))) {
+    if (*gain <= minimum ||
+        !(is_free || this->random.Chance(Clamp01(excess)))) {
       return false;
     }
   }
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -134,6 +134,7 @@
                  Duration fallback,
                  TimePoint now) const;
   double LoadOf(const RouteCandidate& candidate, TimePoint now) const;
+  bool HasFreeSlot(const RouteCandidate& candidate, TimePoint now) const;
   double CostOf(const RouteCandidate& candidate,
                 const RouteRequest& request,
                 TimePoint now) const;
@@ -160,6 +161,7 @@
   bool TakeSpill(Spill& spill,
                  const SpillRule& rule,
                  std::optional<double> gain,
+                 bool is_free,
                  TimePoint now);
 
   const RouterOptions options;
