--- a/Libraries/LibPolicy/router.cc
+++ b/Libraries/LibPolicy/router.cc
@@ -161,17 +161,6 @@
   return this->LoadOf(candidate, now) + 1 <= candidate.slots;
 }
 
-void Router::KeepFree(const std::vector<RouteCandidate>& candidates,
-                      Indices& indices,
-                      TimePoint now) const {
-  const auto is_full = [&](std::size_t index) {
-    return !this->HasFreeSlot(candidates[index], now);
-  };
-  if (!std::all_of(indices.begin(), indices.end(), is_full)) {
-    std::erase_if(indices, is_full);
-  }
-}
-
 double Router::CostOf(const RouteCandidate& candidate,
                       const RouteRequest& request,
                       TimePoint now) const {
@@ -229,8 +218,6 @@
       zone.push_back(i);
     }
   }
-  this->KeepFree(candidates, region, now);
-  this->KeepFree(candidates, zone, now);
   const auto near = this->ChooseOfTwo(candidates, zone, request, now);
   const auto far = this->ChooseOfTwo(candidates, region, request, now);
   if (!far) {
@@ -302,8 +289,7 @@
   }
   std::optional<std::size_t> best;
   double best_cost = 0;
-  for (auto& [region, indices] : regions) {
-    this->KeepFree(candidates, indices, now);
+  for (const auto& [region, indices] : regions) {
     const auto rule = rules.spills.find({this->options.region, region});
     if (rule == rules.spills.end()) {
       continue;
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -135,11 +135,6 @@
                  TimePoint now) const;
   double LoadOf(const RouteCandidate& candidate, TimePoint now) const;
   bool HasFreeSlot(const RouteCandidate& candidate, TimePoint now) const;
-  /// Drops the replicas without a free slot, unless none has one: two random
-  /// ones may both be full while others are not.
-  void KeepFree(const std::vector<RouteCandidate>& candidates,
-                Indices& indices,
-                TimePoint now) const;
   double CostOf(const RouteCandidate& candidate,
                 const RouteRequest& request,
                 TimePoint now) const;
