Suspect replicas whose tokens are overdue, save up hedges, probe less

Change: Router suspects a replica when all its streams are overdue or its time between tokens exceeds the usual one; it is avoided, and hedges leave part of the budget to it. The hedge budget covers a minute and the delay is 1.5 medians. The simulated entry's probes take no hedges; probes come every 2 s. A gap of seconds of a suspended stream is no evidence of slowness. Remaining: RoutePlanner calls neither OnSent, OnEnded nor IsSuspected yet.

--- a/Libraries/LibPolicy/hedge_policy.h
+++ b/Libraries/LibPolicy/hedge_policy.h
@@ -16,11 +16,17 @@
   /// The delay stays between these multiples of the recent median: with many
   /// slowed replicas the quantile itself is slow.
   double minimum_medians = 1.5;
-  double maximum_medians = 3;
+  double maximum_medians = 1.5;
   /// Used until enough times were seen.
   Duration initial_delay = std::chrono::milliseconds(500);
   Duration minimum_delay = std::chrono::milliseconds(2);
   std::size_t recent_times = 256;
+  /// Part of the budget for requests at replicas that are not suspected, such
+  /// as those with a long prompt.
+  double unsuspected_part = 0.6;
+  /// The budget is saved up over a minute in healthy times and spent when
+  /// replicas are slow; over 10 s, an entry with 2.5 requests/s had one hedge.
+  RetryBudgetOptions budget{.window_seconds = 60};
 
   bool operator==(const HedgePolicyOptions&) const = default;
 };
@@ -30,7 +36,8 @@
 /// Not thread-safe.
 class HedgePolicy {
  public:
-  explicit HedgePolicy(HedgePolicyOptions options = {}) : options(options) {}
+  explicit HedgePolicy(HedgePolicyOptions options = {})
+      : options(options), budget(options.budget) {}
 
   void OnRequest(TimePoint now) { this->budget.OnRequest(now); }
   /// Time from the first dispatch of a request to its first token.
@@ -40,9 +47,11 @@
   /// request that must not run twice.
   std::optional<Duration> Delay(bool is_repeatable) const;
 
-  /// Takes a hedge from the budget.
-  bool TryHedge(const BudgetRule& rule, TimePoint now) {
-    return this->budget.TryTake(rule.hedge_share, now);
+  /// Takes a hedge from the budget. Part of it is kept for requests at
+  /// replicas that are suspected to be slow.
+  bool TryHedge(const BudgetRule& rule, bool is_suspected, TimePoint now) {
+    const double part = is_suspected ? 1 : this->options.unsuspected_part;
+    return this->budget.TryTake(part * rule.hedge_share, now);
   }
 
  private:
--- a/Libraries/LibPolicy/outlier_detector.cc
+++ b/Libraries/LibPolicy/outlier_detector.cc
@@ -36,6 +36,12 @@
 void OutlierDetector::OnToken(const std::string& replica,
                               Duration time,
                               TimePoint now) {
+  // A long stream that was suspended shows one gap of seconds.
+  if (this->last_medians.token > 0 &&
+      ToSeconds(time) >
+          this->options.suspended_factor * this->last_medians.token) {
+    return;
+  }
   this->Add(this->observations[replica].token, time, now);
   const bool is_good =
       ToSeconds(time) <= this->options.return_factor * this->last_medians.token;
--- a/Libraries/LibPolicy/outlier_detector.h
+++ b/Libraries/LibPolicy/outlier_detector.h
@@ -17,6 +17,8 @@
   /// of its peers. Below 2, differences in load are taken for slowness.
   double first_token_factor = 2.5;
   double token_factor = 2;
+  /// A time between tokens above this multiple is that of a suspended stream.
+  double suspended_factor = 15;
   /// A time is evidence of recovery below this multiple.
   double return_factor = 1.5;
   std::uint32_t samples_before_ejection = 3;
@@ -30,7 +32,7 @@
   double newest_weight = 0.3;
   /// A replica is probed if it gave no evidence for this long. Each probe may
   /// be a slow request.
-  Duration probe_interval = std::chrono::seconds(1);
+  Duration probe_interval = std::chrono::seconds(2);
   /// Older observations say nothing about a replica.
   Duration memory = std::chrono::seconds(10);
 
--- a/Libraries/LibPolicy/retry_budget.cc
+++ b/Libraries/LibPolicy/retry_budget.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LibCore/assertions.h"
+
 namespace crocus {
 
 namespace {
@@ -13,6 +15,11 @@
 
 }  // namespace
 
+RetryBudget::RetryBudget(RetryBudgetOptions options) : options(options) {
+  VERIFY(options.window_seconds > 0 &&
+         options.window_seconds <= kLongestWindowSeconds);
+}
+
 void RetryBudget::OnRequest(TimePoint now) {
   ++this->BucketAt(now).requests;
 }
@@ -22,7 +29,8 @@
   double requests = 0;
   double taken = 0;
   for (const Bucket& bucket : this->buckets) {
-    if (bucket.second + static_cast<std::int64_t>(kWindowSeconds) >
+    if (bucket.second +
+            static_cast<std::int64_t>(this->options.window_seconds) >
         current.second) {
       requests += bucket.requests;
       taken += bucket.taken;
@@ -38,7 +46,7 @@
 RetryBudget::Bucket& RetryBudget::BucketAt(TimePoint now) {
   const std::int64_t second = SecondOf(now);
   Bucket& bucket =
-      this->buckets[static_cast<std::uint64_t>(second) % kWindowSeconds];
+      this->buckets[static_cast<std::uint64_t>(second) % kLongestWindowSeconds];
   if (bucket.second != second) {
     bucket = {.second = second};
   }
--- a/Libraries/LibPolicy/retry_budget.h
+++ b/Libraries/LibPolicy/retry_budget.h
@@ -12,17 +12,20 @@
   /// Extra attempts that the window may hold whatever the number of requests,
   /// so that a retry stays possible at low traffic.
   double minimum = 1;
+  /// At most RetryBudget::kLongestWindowSeconds. A longer window saves up what
+  /// is not used for later.
+  std::size_t window_seconds = 10;
 
   bool operator==(const RetryBudgetOptions&) const = default;
 };
 
 /// Limits extra attempts (retries, hedges) to a share of the requests of the
-/// last kWindowSeconds. Not thread-safe.
+/// last seconds. Not thread-safe.
 class RetryBudget {
  public:
-  static constexpr std::size_t kWindowSeconds = 10;
+  static constexpr std::size_t kLongestWindowSeconds = 60;
 
-  explicit RetryBudget(RetryBudgetOptions options = {}) : options(options) {}
+  explicit RetryBudget(RetryBudgetOptions options = {});
 
   /// Counts a request that a caller sent.
   void OnRequest(TimePoint now);
@@ -41,7 +44,7 @@
   Bucket& BucketAt(TimePoint now);
 
   const RetryBudgetOptions options;
-  std::array<Bucket, kWindowSeconds> buckets{};
+  std::array<Bucket, kLongestWindowSeconds> buckets{};
 };
 
 }  // namespace crocus
--- a/Libraries/LibPolicy/router.cc
+++ b/Libraries/LibPolicy/router.cc
@@ -12,6 +12,11 @@
 /// Weight of the newest time in the running means.
 constexpr double kNewestWeight = 0.2;
 
+/// Weight of the newest time in the usual times, and the multiple of the usual
+/// time above which a time counts as this multiple.
+constexpr double kUsualWeight = 0.02;
+constexpr double kLargestUsualFactor = 1.5;
+
 /// Tokens whose time counts in the cost of a replica; more would let noise in
 /// the time of one token outweigh the wait.
 constexpr std::uint32_t kCountedTokens = 16;
@@ -19,6 +24,22 @@
 /// Added for a replica that refused a moment ago: used only if all did.
 constexpr double kRefusalCostSeconds = 3600;
 
+/// Added for a replica whose tokens are all overdue: it may be slow, so that
+/// others are preferred, also those with a short queue.
+constexpr double kOverdueCostSeconds = 1;
+
+/// A token is overdue after this multiple of the typical time, and a first
+/// token likewise; its time varies with the length of the prompt.
+constexpr double kOverdueTokens = 2;
+constexpr double kOverdueFirstTokens = 1.25;
+
+/// A replica is suspected if its time between tokens exceeds this multiple of
+/// the usual one. The first gap of a replica slowed 5 times passes it.
+constexpr double kSuspectedTokens = 1.5;
+
+/// No token is overdue before the time between tokens is known.
+constexpr Duration kUnknownTokenTime = std::chrono::hours(1);
+
 /// Largest number of spilled requests that may follow each other at once.
 constexpr double kLargestSpillCredit = 8;
 
@@ -53,14 +74,48 @@
   return spill ? spill : local;
 }
 
+void Router::OnSent(const std::string& replica, TimePoint now) {
+  Observation& observation = this->observations[replica];
+  if (observation.open == 0) {
+    observation.due = this->DueAfter(&Observation::first_token,
+                                     this->options.initial_first_token, now);
+  }
+  ++observation.open;
+}
+
+void Router::OnEnded(const std::string& replica, TimePoint now) {
+  Observation& observation = this->observations[replica];
+  observation.open -= observation.open > 0 ? 1 : 0;
+  // What is left may be waiting for its first token.
+  if (now < observation.due) {
+    observation.due = this->DueAfter(&Observation::first_token,
+                                     this->options.initial_first_token, now);
+  }
+}
+
+void Router::OnWaiting(const std::string& replica,
+                       Duration waited,
+                       TimePoint now) {
+  const Observation& observation = this->observations[replica];
+  // The time so far is only a lower bound of the time to the first token.
+  if (ToSeconds(waited) > this->Seconds(&observation, &Observation::first_token,
+                                        Duration(0), now)) {
+    this->Update(this->observations[replica].first_token, waited, now);
+  }
+}
+
 void Router::OnFirstToken(const std::string& replica,
                           Duration time,
                           TimePoint now) {
   this->Add(replica, &Observation::first_token, time, now);
+  this->observations[replica].due =
+      this->DueAfter(&Observation::token, kUnknownTokenTime, now);
 }
 
 void Router::OnToken(const std::string& replica, Duration time, TimePoint now) {
   this->Add(replica, &Observation::token, time, now);
+  this->observations[replica].due =
+      this->DueAfter(&Observation::token, kUnknownTokenTime, now);
 }
 
 void Router::OnFinished(const std::string& replica,
@@ -95,6 +150,18 @@
   return HashBytes(prompt.substr(0, this->options.prefix_bytes));
 }
 
+bool Router::IsSuspected(const std::string& replica, TimePoint now) const {
+  const auto found = this->observations.find(replica);
+  if (found == this->observations.end() || found->second.open == 0) {
+    return false;
+  }
+  const double usual =
+      this->Seconds(&this->usual, &Observation::token, Duration(0), now);
+  return now > found->second.due ||
+         this->Seconds(&found->second, &Observation::token, Duration(0), now) >
+             kSuspectedTokens * usual;
+}
+
 Duration Router::ExpectedWait(const RouteCandidate& candidate,
                               TimePoint now) const {
   const auto found = this->observations.find(candidate.replica);
@@ -119,6 +186,20 @@
                  TimePoint now) {
   this->Update(this->observations[replica].*mean, time, now);
   this->Update(this->typical.*mean, time, now);
+  this->UpdateUsual(this->usual.*mean, time, now);
+}
+
+void Router::UpdateUsual(std::optional<Mean>& mean,
+                         Duration time,
+                         TimePoint now) const {
+  const double seconds = ToSeconds(time);
+  if (!mean || now - mean->updated > this->options.observation_memory) {
+    mean = {.seconds = seconds, .updated = now};
+    return;
+  }
+  const double bounded = std::min(seconds, kLargestUsualFactor * mean->seconds);
+  mean->seconds += kUsualWeight * (bounded - mean->seconds);
+  mean->updated = now;
 }
 
 void Router::Update(std::optional<Mean>& mean,
@@ -146,6 +227,15 @@
   return ToSeconds(fallback);
 }
 
+TimePoint Router::DueAfter(std::optional<Mean> Observation::*mean,
+                           Duration fallback,
+                           TimePoint now) const {
+  const double factor =
+      mean == &Observation::token ? kOverdueTokens : kOverdueFirstTokens;
+  return now +
+         FromSeconds(factor * this->Seconds(&this->usual, mean, fallback, now));
+}
+
 double Router::LoadOf(const RouteCandidate& candidate, TimePoint now) const {
   const double others =
       candidate.reported_online > candidate.outstanding_at_report
@@ -156,8 +246,7 @@
   return candidate.outstanding + others * Clamp01(1 - age);
 }
 
-bool Router::HasFreeSlot(const RouteCandidate& candidate,
-                         TimePoint now) const {
+bool Router::HasFreeSlot(const RouteCandidate& candidate, TimePoint now) const {
   return this->LoadOf(candidate, now) + 1 <= candidate.slots;
 }
 
@@ -176,6 +265,9 @@
   const std::uint32_t tokens = std::min(request.max_tokens, kCountedTokens);
   cost += tokens *
           this->Seconds(observation, &Observation::token, Duration(0), now);
+  if (this->IsSuspected(candidate.replica, now)) {
+    cost += kOverdueCostSeconds;
+  }
   if (observation != nullptr && now < observation->avoided_until) {
     cost += kRefusalCostSeconds;
   }
@@ -301,9 +393,8 @@
       gain = this->CostOf(candidates[*local], request, now) - cost;
     }
     // A free slot elsewhere is not overloaded by a request that would wait.
-    const bool is_free =
-        local && !this->HasFreeSlot(candidates[*local], now) &&
-        this->HasFreeSlot(candidates[*remote], now);
+    const bool is_free = local && !this->HasFreeSlot(candidates[*local], now) &&
+                         this->HasFreeSlot(candidates[*remote], now);
     if (this->TakeSpill(this->spills[region], rule->second, gain, is_free,
                         now) &&
         (!best || cost < best_cost)) {
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -87,6 +87,13 @@
       const RuleSet& rules,
       TimePoint now);
 
+  /// An attempt was sent; until the next event of the replica is due, it is
+  /// not suspected.
+  void OnSent(const std::string& replica, TimePoint now);
+  /// An attempt ended, whatever the outcome.
+  void OnEnded(const std::string& replica, TimePoint now);
+  /// An attempt has waited this long for its first token and still waits.
+  void OnWaiting(const std::string& replica, Duration waited, TimePoint now);
   void OnFirstToken(const std::string& replica, Duration time, TimePoint now);
   void OnToken(const std::string& replica, Duration time, TimePoint now);
   /// Time from dispatch to the end of an attempt.
@@ -99,6 +106,10 @@
   void OnCacheHint(std::uint64_t prefix, const std::string& replica);
   std::uint64_t PrefixOf(std::string_view prompt) const;
 
+  /// Whether the replica seems to be slow now: the tokens of all its streams
+  /// are overdue, or its time between tokens exceeds that of the others.
+  bool IsSuspected(const std::string& replica, TimePoint now) const;
+
   /// Expected time to the first token, without the network.
   Duration ExpectedWait(const RouteCandidate& candidate, TimePoint now) const;
 
@@ -112,6 +123,10 @@
     std::optional<Mean> token;
     std::optional<Mean> service;
     TimePoint avoided_until{};
+    /// Attempts that have not ended, and when the next token of any of them
+    /// is overdue.
+    std::uint32_t open = 0;
+    TimePoint due{};
   };
   /// Spill-over to one region.
   struct Spill {
@@ -129,11 +144,18 @@
            Duration time,
            TimePoint now);
   void Update(std::optional<Mean>& mean, Duration time, TimePoint now) const;
+  void UpdateUsual(std::optional<Mean>& mean,
+                   Duration time,
+                   TimePoint now) const;
   double Seconds(const Observation* observation,
                  std::optional<Mean> Observation::*mean,
                  Duration fallback,
                  TimePoint now) const;
   double LoadOf(const RouteCandidate& candidate, TimePoint now) const;
+  /// When the next token is overdue after an event at `now`.
+  TimePoint DueAfter(std::optional<Mean> Observation::*mean,
+                     Duration fallback,
+                     TimePoint now) const;
   bool HasFreeSlot(const RouteCandidate& candidate, TimePoint now) const;
   double CostOf(const RouteCandidate& candidate,
                 const RouteRequest& request,
@@ -170,6 +192,8 @@
   /// Over all replicas; assumed for one with no recent times. A fixed value
   /// below or above the real times would flood or starve such a replica.
   Observation typical;
+  /// Slow means that a few slowed replicas hardly change.
+  Observation usual;
   std::map<std::string, Spill> spills;
   std::map<std::uint64_t, std::string> hints;
 };
--- a/Libraries/LibSimulation/entry_route.cc
+++ b/Libraries/LibSimulation/entry_route.cc
@@ -46,15 +46,12 @@
   for (const auto& view : replicas) {
     names.push_back(NameOf(view.index));
   }
-  this->is_probing = false;
   const auto& ejected = this->outliers.Evaluate(
       names, this->rules.endpoints[kEndpoint].ejected_share, now);
   if (const auto probe = this->outliers.TakeProbe(now)) {
     const auto found = std::find(names.begin(), names.end(), *probe);
     const auto position = found - names.begin();
-    if (replicas[position].region == input.region &&
-        this->hedges.TryHedge(this->rules.budgets, now)) {
-      this->is_probing = true;
+    if (replicas[position].region == input.region) {
       return position;
     }
   }
@@ -84,25 +81,24 @@
 }
 
 std::optional<Duration> EntryRoute::HedgeDelay() const {
-  return this->is_probing ? Duration{0} : this->hedges.Delay(true);
+  return this->hedges.Delay(true);
 }
 
 bool EntryRoute::TryHedge(TimePoint now) {
-  // The hedge of a probe was taken from the budget with the probe.
-  if (this->is_probing) {
-    this->is_probing = false;
-    return true;
-  }
-  return this->hedges.TryHedge(this->rules.budgets, now);
+  return this->hedges.TryHedge(
+      this->rules.budgets, this->router.IsSuspected(this->waiting, now), now);
 }
 
-void EntryRoute::ObserveSent(std::size_t, TimePoint now) {
+void EntryRoute::ObserveSent(std::size_t replica, TimePoint now) {
+  this->router.OnSent(NameOf(replica), now);
   this->hedges.OnRequest(now);
 }
 
 void EntryRoute::ObserveWaiting(std::size_t replica,
                                 Duration waited,
                                 TimePoint now) {
+  this->waiting = NameOf(replica);
+  this->router.OnWaiting(NameOf(replica), waited, now);
   this->outliers.OnWaiting(NameOf(replica), waited, now);
 }
 
@@ -125,6 +121,7 @@
                             Duration time,
                             bool is_complete,
                             TimePoint now) {
+  this->router.OnEnded(NameOf(replica), now);
   if (is_complete) {
     this->router.OnFinished(NameOf(replica), time, now);
   }
--- a/Libraries/LibSimulation/entry_route.h
+++ b/Libraries/LibSimulation/entry_route.h
@@ -42,8 +42,8 @@
   Router router;
   OutlierDetector outliers;
   HedgePolicy hedges;
-  /// The last choice was a probe, which is hedged at once.
-  bool is_probing = false;
+  /// Replica of the attempt that waits when a hedge is considered.
+  std::string waiting;
 };
 
 }  // namespace crocus
--- a/Services/Entry/route_planner.cc
+++ b/Services/Entry/route_planner.cc
@@ -144,6 +144,7 @@
                              Duration waited,
                              TimePoint now) {
   std::lock_guard lock(this->mutex);
+  this->router.OnWaiting(plan.candidate.replica, waited, now);
   this->endpoints[plan.endpoint].detector.OnWaiting(plan.candidate.replica,
                                                     waited, now);
 }
@@ -179,7 +180,10 @@
 
 bool RoutePlanner::TryHedge(const std::string& model, TimePoint now) {
   std::lock_guard lock(this->mutex);
-  return this->hedges[model].TryHedge(this->current_rules->budgets, now);
+  // FIXME: Call Router::OnSent and OnEnded for each attempt and ask IsSuspected
+  // here; without these calls no replica is suspected.
+  return this->hedges[model].TryHedge(this->current_rules->budgets,
+                                      /*is_suspected=*/true, now);
 }
 
 bool RoutePlanner::TryRetry(TimePoint now) {
@@ -250,7 +254,8 @@
                        return probed && candidate.replica == *probed;
                      });
     if (found != views.candidates.end() &&
-        this->hedges[model].TryHedge(this->current_rules->budgets, now)) {
+        this->hedges[model].TryHedge(this->current_rules->budgets,
+                                     /*is_suspected=*/true, now)) {
       return static_cast<std::size_t>(found - views.candidates.begin());
     }
   }
--- a/Tests/LibPolicy/router_test.cc
+++ b/Tests/LibPolicy/router_test.cc
@@ -145,4 +145,22 @@
                                  {}, kStart + std::chrono::seconds(1)));
 }
 
+// Guards against sending on to a replica whose streams have just stalled, and
+// against suspecting one with nothing to do.
+TEST(Router_SlowReplica, ReplicaWithOverdueTokensIsSuspected) {
+  Router router(Options(), 1);
+  router.OnSent("r", kStart);
+  router.OnFirstToken("r", std::chrono::milliseconds(100), kStart);
+  router.OnToken("r", std::chrono::milliseconds(40), kStart);
+  CHECK_FALSE(router.IsSuspected("r", kStart + std::chrono::milliseconds(70)));
+  const TimePoint late = kStart + std::chrono::milliseconds(90);
+  CHECK(router.IsSuspected("r", late));
+  const std::vector<RouteCandidate> candidates = {
+      MakeCandidate("r", "here", 1), MakeCandidate("other", "here", 4)};
+  CHECK_EQUAL(1u, *router.Choose(candidates, {.prompt = "x", .max_tokens = 4},
+                                 {}, late));
+  router.OnEnded("r", late);
+  CHECK_FALSE(router.IsSuspected("r", late));
+}
+
 }  // namespace crocus
