--- a/Libraries/LibPolicy/gate.cc
+++ b/Libraries/LibPolicy/gate.cc
@@ -368,12 +368,11 @@
 }
 
 std::uint32_t Gate::long_running() const {
-  const auto suspending =
-      std::count_if(this->suspending.begin(), this->suspending.end(),
-                    [](const auto& item) {
-                      return item.second.work.kind == WorkKind::kOnline &&
-                             item.second.is_long;
-                    });
+  const auto suspending = std::count_if(
+      this->suspending.begin(), this->suspending.end(), [](const auto& item) {
+        return item.second.work.kind == WorkKind::kOnline &&
+               item.second.is_long;
+      });
   return this->CountLong(WorkKind::kOnline) +
          static_cast<std::uint32_t>(suspending);
 }
