Write long setting lists of the process tests on several lines

Cause: INI lines over 198 bytes are refused since the settings parser stopped cutting them off; the test with 8 replicas wrote one such line, its daemon did not start, the test aborted, and the engines it left behind held ctest's output open for 8 minutes. Change: the test fleet continues lists on indented lines, and its programs write standard output to their log file. Before: TestProcesses aborts.

--- a/Tests/Processes/process_fleet.cc
+++ b/Tests/Processes/process_fleet.cc
@@ -27,7 +27,8 @@
 std::string Join(const std::vector<std::string>& items) {
   std::string text;
   for (const auto& item : items) {
-    text += (text.empty() ? "" : ", ") + item;
+    // A list continues on indented lines; one line is limited to 198 bytes.
+    text += (text.empty() ? "" : ",\n  ") + item;
   }
   return text;
 }
@@ -72,6 +73,9 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   const std::string log = this->directory + "/" + name + ".log";
+  // A program that outlives an aborted test must not hold ctest's pipe open.
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   pid_t id = -1;
