--- a/Libraries/LibSimulation/route_policy.h
+++ b/Libraries/LibSimulation/route_policy.h
@@ -78,14 +78,9 @@
   policy.ObserveEnd(replica, wait, is_complete, now);
 };
 
-/// Baseline: the replicas of the entry's region in turn.
-class RoundRobinRoute {
+/// Part of a baseline that observes nothing and never hedges.
+class RouteWithoutObservation {
  public:
-  explicit RoundRobinRoute(const RouteContext&) {}
-
-  std::optional<std::size_t> Choose(const RouteInput& request,
-                                    const std::vector<ReplicaView>& replicas,
-                                    TimePoint now);
   std::optional<Duration> HedgeDelay() { return std::nullopt; }
   bool TryHedge(TimePoint) { return false; }
   void ObserveSent(std::size_t, TimePoint) {}
@@ -93,6 +88,16 @@
   void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
   void ObserveToken(std::size_t, Duration, TimePoint) {}
   void ObserveEnd(std::size_t, Duration, bool, TimePoint) {}
+};
+
+/// Baseline: the replicas of the entry's region in turn.
+class RoundRobinRoute : public RouteWithoutObservation {
+ public:
+  explicit RoundRobinRoute(const RouteContext&) {}
+
+  std::optional<std::size_t> Choose(const RouteInput& request,
+                                    const std::vector<ReplicaView>& replicas,
+                                    TimePoint now);
 
  private:
   std::size_t next = 0;
@@ -100,20 +105,13 @@
 
 /// Baseline: the replica of the entry's region with the fewest attempts of
 /// this entry; the first of equal ones.
-class LeastOutstandingRoute {
+class LeastOutstandingRoute : public RouteWithoutObservation {
  public:
   explicit LeastOutstandingRoute(const RouteContext&) {}
 
   std::optional<std::size_t> Choose(const RouteInput& request,
                                     const std::vector<ReplicaView>& replicas,
                                     TimePoint now);
-  std::optional<Duration> HedgeDelay() { return std::nullopt; }
-  bool TryHedge(TimePoint) { return false; }
-  void ObserveSent(std::size_t, TimePoint) {}
-  void ObserveWaiting(std::size_t, Duration, TimePoint) {}
-  void ObserveFirstToken(std::size_t, Duration, TimePoint) {}
-  void ObserveToken(std::size_t, Duration, TimePoint) {}
-  void ObserveEnd(std::size_t, Duration, bool, TimePoint) {}
 };
 
 }  // namespace crocus
--- a/Services/Entry/route_planner.cc
+++ b/Services/Entry/route_planner.cc
@@ -181,7 +181,9 @@
 bool RoutePlanner::TryHedge(const std::string& model, TimePoint now) {
   std::lock_guard lock(this->mutex);
   // FIXME: Call Router::OnSent and OnEnded for each attempt and ask IsSuspected
-  // here; without these calls no replica is suspected.
+  // here; without these calls no replica is suspected. RequestRun reports
+  // tokens in groups, so the router must first allow for the group's time, or
+  // every replica would be suspected between two reports.
   return this->hedges[model].TryHedge(this->current_rules->budgets,
                                       /*is_suspected=*/true, now);
 }
--- a/Services/Standin/log_service.cc
+++ b/Services/Standin/log_service.cc
@@ -43,8 +43,8 @@
   });
 }
 
-HttpResponse LogService::Append(const HttpRequest& request) {
-  std::unique_lock lock(this->mutex);
+std::optional<HttpResponse> LogService::ApplyFaults(
+    std::unique_lock<std::mutex>& lock) {
   const auto delay = this->faults.delay;
   if (delay.count() > 0) {
     lock.unlock();
@@ -54,6 +54,14 @@
   if (this->faults.is_out) {
     return JsonResponse(503, {{"error", "log is unavailable"}});
   }
+  return std::nullopt;
+}
+
+HttpResponse LogService::Append(const HttpRequest& request) {
+  std::unique_lock lock(this->mutex);
+  if (auto refused = this->ApplyFaults(lock)) {
+    return *refused;
+  }
   if (!this->TakeAppendToken()) {
     return JsonResponse(429, {{"error", "append rate exceeded"}});
   }
@@ -71,14 +79,8 @@
 
 HttpResponse LogService::Read(const HttpRequest& request) {
   std::unique_lock lock(this->mutex);
-  const auto delay = this->faults.delay;
-  if (delay.count() > 0) {
-    lock.unlock();
-    std::this_thread::sleep_for(delay);
-    lock.lock();
-  }
-  if (this->faults.is_out) {
-    return JsonResponse(503, {{"error", "log is unavailable"}});
+  if (auto refused = this->ApplyFaults(lock)) {
+    return *refused;
   }
   Stream& stream = this->streams[request.Parameter("stream")];
   this->TrimExpired(stream);
--- a/Services/Standin/log_service.h
+++ b/Services/Standin/log_service.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include "LibHttp/http_server.h"
@@ -42,6 +43,9 @@
     std::chrono::milliseconds delay{0};
   };
 
+  /// Waits for the injected delay without the lock; returns the refusal of an
+  /// injected outage.
+  std::optional<HttpResponse> ApplyFaults(std::unique_lock<std::mutex>& lock);
   HttpResponse Append(const HttpRequest& request);
   HttpResponse Read(const HttpRequest& request);
   HttpResponse SetFaults(const HttpRequest& request);
