--- a/Libraries/LibLedger/ledger_reader.cc
+++ b/Libraries/LibLedger/ledger_reader.cc
@@ -2,11 +2,20 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include "LibMessages/codec.h"
 
 namespace crocus {
 
+namespace {
+
+/// Pages that are replayed rather than searched for a snapshot. A search that
+/// finds none reads the records twice.
+constexpr std::uint64_t kPagesReplayed = 4;
+
+}  // namespace
+
 std::uint64_t LedgerReader::from() const {
   switch (this->phase) {
     case Phase::kFindEnd:
@@ -23,13 +32,8 @@
                                   const RecordHandler& on_record) {
   this->first = page.first;
   if (this->phase == Phase::kFindEnd) {
-    this->search_end = page.next;
-    this->search_begin = std::max(
-        page.first,
-        page.next > this->page_records ? page.next - this->page_records : 1);
-    this->search_from = this->search_begin;
-    this->parts.clear();
-    this->phase = Phase::kFindSnapshot;
+    this->search_floor = 1;
+    this->StartSearch(page);
     if (page.next == page.first && page.first == 1) {
       this->phase = Phase::kFollow;
       this->has_reached_end = true;
@@ -45,6 +49,14 @@
     this->has_reached_end = false;
     return {};
   }
+  if (std::exchange(this->is_resuming, false) &&
+      page.next > this->state.next_offset() +
+                      kPagesReplayed * std::uint64_t{this->page_records}) {
+    this->search_floor = this->state.next_offset();
+    this->has_reached_end = false;
+    this->StartSearch(page);
+    return {};
+  }
   for (const auto& record : page.records) {
     if (record.offset >= this->state.next_offset()) {
       this->state.Apply(record.offset, record.data);
@@ -55,6 +67,16 @@
   return {};
 }
 
+void LedgerReader::StartSearch(const LogPage& page) {
+  this->search_end = page.next;
+  this->search_begin = std::max(
+      {page.first, this->search_floor,
+       page.next > this->page_records ? page.next - this->page_records : 1});
+  this->search_from = this->search_begin;
+  this->parts.clear();
+  this->phase = Phase::kFindSnapshot;
+}
+
 Result<void> LedgerReader::Search(const LogPage& page) {
   for (const auto& record : page.records) {
     if (record.offset < this->search_end) {
@@ -73,7 +95,8 @@
     const auto& [through_offset, part_count, writer] = key;
     const bool is_whole = found.size() == part_count;
     // The records after the snapshot must still be there.
-    if (!is_whole || through_offset + 1 < page.first) {
+    if (!is_whole || through_offset + 1 < page.first ||
+        through_offset + 1 < this->search_floor) {
       continue;
     }
     std::vector<records::Snapshot> ordered;
@@ -88,8 +111,10 @@
       return {};
     }
   }
-  if (this->search_begin <= 1) {
-    this->state = {};
+  if (this->search_begin <= this->search_floor) {
+    if (this->search_floor == 1) {
+      this->state = {};
+    }
     this->parts.clear();
     this->phase = Phase::kFollow;
     return {};
@@ -101,10 +126,10 @@
                    "it");
   }
   this->search_end = this->search_begin;
-  this->search_begin =
-      std::max(page.first, this->search_begin > this->page_records
-                               ? this->search_begin - this->page_records
-                               : 1);
+  this->search_begin = std::max({page.first, this->search_floor,
+                                 this->search_begin > this->page_records
+                                     ? this->search_begin - this->page_records
+                                     : 1});
   this->search_from = this->search_begin;
   return {};
 }
--- a/Libraries/LibLedger/ledger_reader.h
+++ b/Libraries/LibLedger/ledger_reader.h
@@ -36,6 +36,10 @@
   using RecordHandler = std::function<void(const LogRecord&)>;
   Result<void> OnPage(const LogPage& page, const RecordHandler& on_record);
 
+  /// Called before the first read after a time without reads. If the end is far
+  /// ahead, the reader looks for a snapshot that is newer than its own state.
+  void Resume() { this->is_resuming = this->phase == Phase::kFollow; }
+
   /// True once a page reached the end of the stream.
   bool is_current() const { return this->has_reached_end; }
   PartitionLedger& ledger() { return this->state; }
@@ -46,6 +50,7 @@
  private:
   enum class Phase { kFindEnd, kFindSnapshot, kFollow };
 
+  void StartSearch(const LogPage& page);
   Result<void> Search(const LogPage& page);
   void Collect(const LogRecord& record);
 
@@ -54,6 +59,9 @@
   PartitionLedger state;
   bool has_reached_end = false;
   std::uint64_t first = 1;
+  bool is_resuming = false;
+  /// The search ends here: the next offset of a state that was kept, or 1.
+  std::uint64_t search_floor = 1;
   /// Start and end of the records that the search reads next.
   std::uint64_t search_from = 0;
   std::uint64_t search_end = 0;
--- a/Services/Entry/batch_store.cc
+++ b/Services/Entry/batch_store.cc
@@ -467,6 +467,7 @@
     if (partition.is_fresh()) {
       return;
     }
+    partition.reader.Resume();
   }
   this->Refresh(partition, this->settings.batch.heartbeat_timeout);
 }
@@ -538,6 +539,7 @@
                            partition.owner.has_offers() ||
                            !partition.is_log_available;
   if (must_follow && !partition.is_followed) {
+    partition.reader.Resume();
     partition.reads_before_following = partition.reads_started;
     partition.next_read = now;
     partition.read_delay = Duration(0);
--- a/Tests/LibLedger/partition_ledger_test.cc
+++ b/Tests/LibLedger/partition_ledger_test.cc
@@ -388,6 +388,44 @@
   CHECK_EQUAL(3, reader.ledger().jobs().size());
 }
 
+// Guards against a reader that replays everything it missed although there is a
+// snapshot, and against one that loses its state because there is none.
+TEST(LedgerReader_TrimmedStream, ResumedReaderStartsFromANewerSnapshot) {
+  for (const bool has_snapshot : {true, false}) {
+    this->records.clear();
+    this->AddJob("a");
+    LedgerReader reader(2);
+    CHECK(this->Follow(reader));
+    PartitionLedger whole;
+    const auto apply_rest = [this, &whole] {
+      for (auto i = whole.next_offset(); i <= this->records.size(); ++i) {
+        whole.Apply(i, this->records[i - 1].data);
+      }
+    };
+    for (int job = 0; job < 100; ++job) {
+      this->AddJob("j" + std::to_string(job));
+    }
+    apply_rest();
+    if (has_snapshot) {
+      this->AddSnapshot(whole, 1000);
+    }
+    this->AddJob("z");
+    apply_rest();
+    reader.Resume();
+    std::vector<std::uint64_t> applied;
+    const auto note = [&applied](const LogRecord& record) {
+      applied.push_back(record.offset);
+    };
+    do {
+      CHECK(reader.OnPage(this->Read(reader.from(), reader.limit()), note)
+                .has_value());
+    } while (!reader.is_current());
+    CHECK(reader.ledger() == whole);
+    // The parts of the snapshot come after the 101 jobs that it covers.
+    CHECK_EQUAL(has_snapshot ? 102 : 2, applied.front());
+  }
+}
+
 // Guards against results that are lost or shown twice when they are written
 // again before the log trims them.
 TEST(LedgerReader_TrimmedStream, CarriedResultsReplaceWholeRunsOnly) {
