Remove a router function and an owner method that nothing needs

Cause: ChooseLeastOutstanding was left from the thin path and had no caller; PartitionOwner::OnNotSent only forwarded to OnFailed, and only crocus-fuzz used it, while the entry calls OnFailed. Change: both removed; crocus-fuzz calls OnFailed as the entry does.

--- a/Libraries/LibLedger/partition_owner.cc
+++ b/Libraries/LibLedger/partition_owner.cc
@@ -468,10 +468,6 @@
   return views;
 }
 
-void PartitionOwner::OnNotSent(const std::string& attempt, TimePoint now) {
-  this->OnFailed(attempt, Verdict::kNotRun, now);
-}
-
 void PartitionOwner::OnFailed(const std::string& attempt,
                               Verdict verdict,
                               TimePoint now) {
--- a/Libraries/LibLedger/partition_owner.h
+++ b/Libraries/LibLedger/partition_owner.h
@@ -206,9 +206,7 @@
   /// The open jobs, with or without an item to send.
   std::vector<JobView> OpenJobs(const PartitionLedger& ledger) const;
 
-  /// The attempt was not sent; the item waits again.
-  void OnNotSent(const std::string& attempt, TimePoint now);
-  /// The attempt ended without a result, or its daemon was lost.
+  /// The attempt ended without a result, was not sent, or its daemon was lost.
   void OnFailed(const std::string& attempt, Verdict verdict, TimePoint now);
   /// A daemon holds a result. Also called while another entry is the owner: the
   /// offer is kept, within a limit, for a takeover. A result that is not whole
--- a/Libraries/LibPolicy/router.h
+++ b/Libraries/LibPolicy/router.h
@@ -32,11 +32,6 @@
   bool operator==(const RouteCandidate&) const = default;
 };
 
-/// Chooses the index of the candidate with the fewest outstanding attempts per
-/// slot. Nothing if there are no candidates.
-std::optional<std::size_t> ChooseLeastOutstanding(
-    const std::vector<RouteCandidate>& candidates);
-
 struct RouterOptions {
   std::string availability_zone;
   std::string region;
--- a/Utilities/Fuzz/entry_node.cc
+++ b/Utilities/Fuzz/entry_node.cc
@@ -313,7 +313,8 @@
                                       .epoch = dispatch.epoch}});
         if (!is_sent) {
           this->batch_attempts.erase(dispatch.attempt);
-          partition.owner.OnNotSent(dispatch.attempt, this->loop.now());
+          partition.owner.OnFailed(dispatch.attempt, Verdict::kNotRun,
+                                   this->loop.now());
         }
       });
 }
