--- /dev/null
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -0,0 +1,276 @@
+#include "LibAsyncHttp/client_connection.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "LibAsyncHttp/socket_options.h"
+#include "LibCore/assertions.h"
+#include "LibCore/text.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16 << 10;
+constexpr std::size_t kLargestHead = 64 << 10;
+/// Idle time of a server that names none; most servers keep connections for
+/// several seconds.
+constexpr Duration kDefaultKeepAlive = std::chrono::seconds(4);
+/// A request sent this shortly before the server's idle timeout could cross
+/// its close.
+constexpr Duration kKeepAliveMargin = std::chrono::milliseconds(500);
+
+/// The idle time that a `Keep-Alive: timeout=N` field declares.
+Duration KeepAliveOf(const HeaderFields& fields) {
+  const auto field = fields.Find("keep-alive");
+  if (!field) {
+    return kDefaultKeepAlive;
+  }
+  for (const auto& part : Split(*field, ',')) {
+    const std::string text = Trim(part);
+    constexpr std::string_view kTimeout = "timeout=";
+    if (text.rfind(kTimeout, 0) != 0) {
+      continue;
+    }
+    int seconds = 0;
+    const auto [end, error] = std::from_chars(
+        text.data() + kTimeout.size(), text.data() + text.size(), seconds);
+    if (error == std::errc()) {
+      return std::chrono::seconds(std::max(seconds, 0));
+    }
+  }
+  return kDefaultKeepAlive;
+}
+
+bool IsInterim(std::uint32_t status) {
+  return status >= 100 && status < 200;
+}
+
+}  // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context& loop,
+                                   boost::asio::ip::tcp::endpoint server,
+                                   StateCallback on_state)
+    : socket(loop),
+      connect_timer(loop),
+      address(std::move(server)),
+      on_state(std::move(on_state)) {}
+
+void ClientConnection::Start(std::string request_text,
+                             ExchangeEvents events,
+                             const ExchangeOptions& options) {
+  VERIFY(!this->is_busy);
+  this->is_busy = true;
+  ++this->exchanges;
+  this->request_text = std::move(request_text);
+  this->events = std::make_shared<const ExchangeEvents>(std::move(events));
+  this->is_head_request = options.is_head_request;
+  this->is_request_sent = false;
+  this->head_delivered = false;
+  this->skipped_response = false;
+  this->is_paused = false;
+  this->parser = std::make_unique<ResponseParser>();
+  this->parser->skip(this->is_head_request);
+  if (this->is_connected) {
+    this->SendRequest();
+  } else {
+    this->Connect(options);
+  }
+}
+
+void ClientConnection::Connect(const ExchangeOptions& options) {
+  this->connect_timer.expires_after(options.connect_time);
+  this->connect_timer.async_wait(
+      [weak = this->weak_from_this()](const auto& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->is_connected && self->is_busy) {
+          self->End(ExchangeEnd::kNotConnected, "connect timed out");
+        }
+      });
+  this->socket.async_connect(
+      this->address, [self = this->shared_from_this()](const auto& error) {
+        if (!self->is_busy) {
+          return;
+        }
+        self->connect_timer.cancel();
+        if (error) {
+          self->End(ExchangeEnd::kNotConnected, error.message());
+          return;
+        }
+        self->is_connected = true;
+        SetSocketOptions(self->socket);
+        self->SendRequest();
+      });
+}
+
+void ClientConnection::SendRequest() {
+  boost::asio::async_write(
+      this->socket, boost::asio::buffer(this->request_text),
+      [self = this->shared_from_this()](const auto& error, std::size_t) {
+        // After a failed write the read reports the reset, with any response
+        // that the server sent before it.
+        self->is_request_sent = !error;
+      });
+  this->Read();
+}
+
+void ClientConnection::Read() {
+  if (this->is_reading || this->is_paused || !this->socket.is_open()) {
+    return;
+  }
+  this->is_reading = true;
+  this->socket.async_read_some(
+      this->input.prepare(kReadBytes),
+      [self = this->shared_from_this()](const auto& error, std::size_t bytes) {
+        self->is_reading = false;
+        if (!self->socket.is_open()) {
+          return;
+        }
+        self->input.commit(bytes);
+        if (error) {
+          self->OnReadError(error);
+          return;
+        }
+        self->OnBytes();
+      });
+}
+
+void ClientConnection::OnBytes() {
+  if (!this->is_busy) {
+    // Bytes that follow a whole response belong to no request.
+    this->Close();
+    return;
+  }
+  const auto self = this->shared_from_this();
+  while (this->is_busy && this->input.size() > 0) {
+    boost::beast::error_code error;
+    const std::size_t used = this->parser->put(this->input.data(), error);
+    this->input.consume(used);
+    if (!this->Deliver()) {
+      return;
+    }
+    if (error == boost::beast::http::error::need_more) {
+      if (!this->parser->is_header_done() &&
+          this->input.size() > kLargestHead) {
+        this->End(ExchangeEnd::kBrokenBeforeHead, "response head too large");
+        return;
+      }
+      break;
+    }
+    if (error) {
+      this->End(this->head_delivered ? ExchangeEnd::kBrokenInBody
+                                     : ExchangeEnd::kBrokenBeforeHead,
+                "malformed response: " + error.message());
+      return;
+    }
+    if (this->parser->is_done()) {
+      this->FinishComplete();
+      return;
+    }
+  }
+  this->Read();
+}
+
+bool ClientConnection::Deliver() {
+  const auto receiver = this->events;
+  if (!this->parser->is_header_done()) {
+    return true;
+  }
+  const ResponseHead& head = this->parser->head();
+  if (!this->head_delivered) {
+    const bool is_interim = IsInterim(head.status);
+    if (is_interim || receiver->on_head(head) == HeadDecision::kSkip) {
+      if (!this->is_busy) {
+        return false;
+      }
+      if (!this->parser->is_done()) {
+        // The rest of a stray body cannot be told from the awaited response.
+        this->End(ExchangeEnd::kBrokenBeforeHead, "stray response");
+        return false;
+      }
+      this->skipped_response = this->skipped_response || !is_interim;
+      this->parser = std::make_unique<ResponseParser>();
+      this->parser->skip(this->is_head_request);
+      return true;
+    }
+    if (!this->is_busy) {
+      return false;
+    }
+    this->head_delivered = true;
+  }
+  if (const std::string body = this->parser->TakeBody(); !body.empty()) {
+    receiver->on_body(body);
+  }
+  return this->is_busy;
+}
+
+void ClientConnection::OnReadError(const boost::system::error_code& error) {
+  if (!this->is_busy) {
+    this->Close();
+    return;
+  }
+  const auto self = this->shared_from_this();
+  // A body without length and chunks ends with its connection; a reset does
+  // not end it.
+  if (error == boost::asio::error::eof && this->head_delivered &&
+      this->parser->need_eof()) {
+    boost::beast::error_code ignored;
+    this->parser->put_eof(ignored);
+    this->FinishComplete();
+    return;
+  }
+  this->End(this->head_delivered ? ExchangeEnd::kBrokenInBody
+                                 : ExchangeEnd::kBrokenBeforeHead,
+            "connection ended: " + error.message());
+}
+
+void ClientConnection::FinishComplete() {
+  const ResponseHead head = this->parser->head();
+  const bool is_reusable = head.keep_alive && this->is_request_sent &&
+                           !this->skipped_response &&
+                           !this->parser->need_eof() && this->input.size() == 0;
+  const auto receiver = std::exchange(this->events, nullptr);
+  this->is_busy = false;
+  if (is_reusable) {
+    this->idle_deadline =
+        BootTimeNow() + KeepAliveOf(head.fields) - kKeepAliveMargin;
+    this->Read();
+    this->on_state(this->shared_from_this());
+  } else {
+    this->Close();
+  }
+  receiver->on_end(ExchangeEnd::kComplete, "");
+}
+
+void ClientConnection::End(ExchangeEnd end, const std::string& reason) {
+  const auto receiver = std::exchange(this->events, nullptr);
+  this->is_busy = false;
+  this->Close();
+  receiver->on_end(end, reason);
+}
+
+void ClientConnection::Cancel() {
+  this->is_busy = false;
+  this->events = nullptr;
+  this->Close();
+}
+
+void ClientConnection::set_paused(bool paused) {
+  this->is_paused = paused;
+  this->Read();
+}
+
+void ClientConnection::Close() {
+  this->connect_timer.cancel();
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->is_connected = false;
+  this->on_state(this->shared_from_this());
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibAsyncHttp/client_connection.h
@@ -0,0 +1,84 @@
+#ifndef LIBASYNCHTTP_CLIENT_CONNECTION_H_
+#define LIBASYNCHTTP_CLIENT_CONNECTION_H_
+
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "LibAsyncHttp/exchange.h"
+#include "LibAsyncHttp/response_parser.h"
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// One connection to a server, with one exchange at a time. Between exchanges
+/// it is still read, so that a close or a stray response is noticed.
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  /// Called when the connection may carry another exchange, or is closed.
+  using StateCallback =
+      std::function<void(const std::shared_ptr<ClientConnection>&)>;
+
+  ClientConnection(boost::asio::io_context& loop,
+                   boost::asio::ip::tcp::endpoint server,
+                   StateCallback on_state);
+
+  /// Sends the request, after connecting if need be.
+  void Start(std::string request_text,
+             ExchangeEvents events,
+             const ExchangeOptions& options);
+
+  /// Closes the connection; the running exchange reports nothing more.
+  void Cancel();
+
+  /// Stops and resumes reading, for a receiver that is slower than the server.
+  void set_paused(bool paused);
+
+  bool is_open() const { return this->socket.is_open(); }
+  bool is_idle() const { return this->is_connected && !this->is_busy; }
+  /// True if the running exchange is the first of this connection.
+  bool is_new() const { return this->exchanges <= 1; }
+  /// Until when the server keeps the idle connection.
+  TimePoint usable_until() const { return this->idle_deadline; }
+  const boost::asio::ip::tcp::endpoint& server() const { return this->address; }
+
+ private:
+  void Connect(const ExchangeOptions& options);
+  void SendRequest();
+  void Read();
+  void OnBytes();
+  /// Takes parsed bytes to the events. False if the exchange has ended.
+  bool Deliver();
+  void OnReadError(const boost::system::error_code& error);
+  void FinishComplete();
+  void End(ExchangeEnd end, const std::string& reason);
+  void Close();
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer connect_timer;
+  const boost::asio::ip::tcp::endpoint address;
+  const StateCallback on_state;
+  /// Shared, since a callback may cancel the exchange that calls it.
+  std::shared_ptr<const ExchangeEvents> events;
+  boost::beast::flat_buffer input;
+  std::unique_ptr<ResponseParser> parser;
+  std::string request_text;
+  std::size_t exchanges = 0;
+  bool is_connected = false;
+  bool is_busy = false;
+  bool is_reading = false;
+  bool is_paused = false;
+  bool is_request_sent = false;
+  bool is_head_request = false;
+  bool head_delivered = false;
+  bool skipped_response = false;
+  TimePoint idle_deadline{};
+};
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/connection_pool.cc
@@ -0,0 +1,83 @@
+#include "LibAsyncHttp/connection_pool.h"
+
+#include <utility>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+ConnectionPool::~ConnectionPool() {
+  this->is_closing = true;
+  for (const auto& connection : this->busy) {
+    connection->Cancel();
+  }
+  for (const auto& [key, connections] : this->idle) {
+    for (const auto& connection : connections) {
+      connection->Cancel();
+    }
+  }
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::Start(
+    const std::string& key,
+    const boost::asio::ip::tcp::endpoint& server,
+    std::string request_text,
+    ExchangeEvents events,
+    const ExchangeOptions& options) {
+  std::shared_ptr<ClientConnection> connection;
+  std::vector<std::shared_ptr<ClientConnection>> expired;
+  auto& kept = this->idle[key];
+  const TimePoint now = BootTimeNow();
+  while (!kept.empty() && !connection) {
+    auto candidate = kept.back();
+    kept.pop_back();
+    if (candidate->is_idle() && candidate->usable_until() > now &&
+        candidate->server() == server) {
+      connection = std::move(candidate);
+    } else {
+      expired.push_back(std::move(candidate));
+    }
+  }
+  for (const auto& old : expired) {
+    old->Cancel();
+  }
+  if (!connection) {
+    ++this->opened;
+    connection = std::make_shared<ClientConnection>(
+        this->loop, server,
+        [this, key](const auto& changed) { this->OnState(key, changed); });
+  }
+  this->busy.insert(connection);
+  connection->Start(std::move(request_text), std::move(events), options);
+  return connection;
+}
+
+void ConnectionPool::OnState(
+    const std::string& key,
+    const std::shared_ptr<ClientConnection>& connection) {
+  if (this->is_closing) {
+    return;
+  }
+  this->busy.erase(connection);
+  auto& kept = this->idle[key];
+  if (connection->is_idle()) {
+    kept.push_back(connection);
+  } else {
+    kept.remove(connection);
+  }
+}
+
+void ConnectionPool::Drop(const std::string& key) {
+  const auto found = this->idle.find(key);
+  if (found == this->idle.end()) {
+    return;
+  }
+  const auto connections = std::exchange(found->second, {});
+  this->idle.erase(found);
+  for (const auto& connection : connections) {
+    connection->Cancel();
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibAsyncHttp/exchange.h
@@ -0,0 +1,48 @@
+#ifndef LIBASYNCHTTP_EXCHANGE_H_
+#define LIBASYNCHTTP_EXCHANGE_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "LibAsyncHttp/http_head.h"
+#include "LibCore/time.h"
+
+namespace crocus {
+
+enum class ExchangeEnd {
+  /// The response is whole.
+  kComplete,
+  /// No connection could be opened; no byte of the request was sent.
+  kNotConnected,
+  /// The connection ended, or sent bytes that are no response, before a
+  /// response head. The request may have run.
+  kBrokenBeforeHead,
+  /// The connection ended, or the body became malformed, after the head.
+  kBrokenInBody,
+};
+
+/// What the receiver of a response does with its head.
+enum class HeadDecision {
+  kAccept,
+  /// The response belongs to an earlier request; the next one is awaited.
+  kSkip,
+};
+
+/// How one request and its response go on. `on_end` is called exactly once,
+/// unless the exchange is cancelled.
+struct ExchangeEvents {
+  std::function<HeadDecision(const ResponseHead&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  std::function<void(ExchangeEnd, const std::string& reason)> on_end;
+};
+
+struct ExchangeOptions {
+  /// Longest time for a new connection to open.
+  Duration connect_time = std::chrono::milliseconds(400);
+  bool is_head_request = false;
+};
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_EXCHANGE_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/http_fetch.h
@@ -0,0 +1,39 @@
+#ifndef LIBASYNCHTTP_HTTP_FETCH_H_
+#define LIBASYNCHTTP_HTTP_FETCH_H_
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "LibAsyncHttp/connection_pool.h"
+#include "LibCore/result.h"
+#include "LibCore/time.h"
+
+namespace crocus {
+
+struct FetchedResponse {
+  ResponseHead head;
+  std::string body;
+};
+
+struct FetchOptions {
+  std::string pool_key;
+  boost::asio::ip::tcp::endpoint server;
+  RequestHead head;
+  std::string body;
+  /// From the call to the end of the response.
+  Duration time_limit = std::chrono::seconds(1);
+};
+
+/// Sends a request and collects its whole response. Errors: kUnavailable
+/// without a connection (verdict not run), kTimeout and kUnavailable for a
+/// response that did not arrive whole (verdict may have run).
+void Fetch(boost::asio::io_context& loop,
+           ConnectionPool& pool,
+           FetchOptions options,
+           std::function<void(Result<FetchedResponse>)> on_done);
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_HTTP_FETCH_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/http_head.h
@@ -0,0 +1,82 @@
+#ifndef LIBASYNCHTTP_HTTP_HEAD_H_
+#define LIBASYNCHTTP_HTTP_HEAD_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocus {
+
+struct HeaderField {
+  std::string name;
+  std::string value;
+
+  bool operator==(const HeaderField&) const = default;
+};
+
+/// Header fields in the order of the message. Names are matched without case.
+class HeaderFields {
+ public:
+  HeaderFields() = default;
+  explicit HeaderFields(std::vector<HeaderField> fields);
+
+  /// The one field of a response that has a body.
+  static HeaderFields WithContentType(std::string type);
+
+  void Add(std::string name, std::string value);
+  /// Replaces every field of that name by one.
+  void Set(std::string name, std::string value);
+  void Remove(std::string_view name);
+
+  /// Value of the first field of that name.
+  std::optional<std::string_view> Find(std::string_view name) const;
+  /// True if a comma-separated field lists the token, compared without case.
+  bool HasToken(std::string_view name, std::string_view token) const;
+
+  /// The fields without those that concern one connection only: framing,
+  /// `Connection` with the fields it names, and `Keep-Alive`.
+  HeaderFields EndToEnd() const;
+
+  const std::vector<HeaderField>& all() const { return this->fields; }
+
+  bool operator==(const HeaderFields&) const = default;
+
+ private:
+  std::vector<HeaderField> fields;
+};
+
+/// Compares two header names or tokens without case.
+bool EqualsIgnoringCase(std::string_view left, std::string_view right);
+
+struct RequestHead {
+  std::string method;
+  /// Path and query as the caller sent them.
+  std::string target;
+  HeaderFields fields;
+  bool keep_alive = true;
+
+  /// The target without its query.
+  std::string_view path() const;
+  /// Value of a query parameter; empty if it is missing. Not percent-decoded.
+  std::string_view QueryValue(std::string_view name) const;
+};
+
+struct Request {
+  RequestHead head;
+  std::string body;
+};
+
+struct ResponseHead {
+  std::uint32_t status = 0;
+  std::string reason;
+  HeaderFields fields;
+  bool keep_alive = true;
+  /// Missing for a chunked body and for one that ends with its connection.
+  std::optional<std::uint64_t> content_length;
+};
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_HTTP_HEAD_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/http_listener.cc
@@ -0,0 +1,116 @@
+#include "LibAsyncHttp/http_listener.h"
+
+#include <utility>
+#include <vector>
+
+#include "LibAsyncHttp/socket_options.h"
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+/// Pause after a failed accept, such as one without a free descriptor.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+HttpListener::HttpListener(boost::asio::io_context& loop,
+                           std::function<SessionLimits()> limits,
+                           Handler handler)
+    : loop(loop),
+      acceptor(loop),
+      retry_timer(loop),
+      session_options(std::make_shared<SessionOptions>()) {
+  this->session_options->limits = std::move(limits);
+  this->session_options->on_request = std::move(handler);
+  this->session_options->on_closed = [this](const ServerSession* session) {
+    this->sessions.erase(session);
+  };
+}
+
+Result<void> HttpListener::Listen(
+    const boost::asio::ip::tcp::endpoint& address) {
+  boost::system::error_code error;
+  this->acceptor.open(address.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(
+        boost::asio::ip::tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(address, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    return Failure(ErrorCode::kUnavailable,
+                   "cannot listen on " + address.address().to_string() + ":" +
+                       std::to_string(address.port()) + ": " + error.message());
+  }
+  this->Accept();
+  return {};
+}
+
+void HttpListener::Accept() {
+  this->acceptor.async_accept([this](const auto& error, auto socket) {
+    if (!this->acceptor.is_open()) {
+      return;
+    }
+    if (error) {
+      LogEvent(Event::kAcceptFailed, {{"reason", error.message()}});
+      this->retry_timer.expires_after(kAcceptPause);
+      this->retry_timer.async_wait([this](const auto& cancelled) {
+        if (!cancelled) {
+          this->Accept();
+        }
+      });
+      return;
+    }
+    SetSocketOptions(socket);
+    const auto session = std::make_shared<ServerSession>(std::move(socket),
+                                                         this->session_options);
+    this->sessions[session.get()] = session;
+    if (this->announces_close) {
+      session->AnnounceClose();
+    }
+    session->Start();
+    this->Accept();
+  });
+}
+
+void HttpListener::AnnounceClose() {
+  this->announces_close = true;
+  for (const auto& [key, weak] : this->sessions) {
+    if (const auto session = weak.lock()) {
+      session->AnnounceClose();
+    }
+  }
+}
+
+void HttpListener::StopAccepting() {
+  boost::system::error_code ignored;
+  this->acceptor.close(ignored);
+  this->retry_timer.cancel();
+  std::vector<std::shared_ptr<ServerSession>> open;
+  for (const auto& [key, weak] : this->sessions) {
+    if (auto session = weak.lock()) {
+      open.push_back(std::move(session));
+    }
+  }
+  for (const auto& session : open) {
+    session->CloseWhenIdle();
+  }
+}
+
+std::size_t HttpListener::sessions_handling() const {
+  std::size_t count = 0;
+  for (const auto& [key, weak] : this->sessions) {
+    const auto session = weak.lock();
+    count += session && session->is_handling() ? 1 : 0;
+  }
+  return count;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibAsyncHttp/http_listener.h
@@ -0,0 +1,49 @@
+#ifndef LIBASYNCHTTP_HTTP_LISTENER_H_
+#define LIBASYNCHTTP_HTTP_LISTENER_H_
+
+#include <map>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibAsyncHttp/server_session.h"
+#include "LibCore/result.h"
+
+namespace crocus {
+
+/// Accepts callers' connections and keeps their sessions.
+class HttpListener {
+ public:
+  using Handler = std::function<void(std::shared_ptr<ServerSession>, Request)>;
+
+  HttpListener(boost::asio::io_context& loop,
+               std::function<SessionLimits()> limits,
+               Handler handler);
+
+  /// Fails with kUnavailable if the address cannot be listened on.
+  Result<void> Listen(const boost::asio::ip::tcp::endpoint& address);
+
+  /// Each further response announces that its connection closes.
+  void AnnounceClose();
+  /// Refuses new connections and closes those that handle no request.
+  void StopAccepting();
+
+  std::size_t sessions_handling() const;
+  std::size_t sessions_open() const { return this->sessions.size(); }
+
+ private:
+  void Accept();
+
+  boost::asio::io_context& loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::steady_timer retry_timer;
+  std::shared_ptr<SessionOptions> session_options;
+  std::map<const ServerSession*, std::weak_ptr<ServerSession>> sessions;
+  bool announces_close = false;
+};
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_HTTP_LISTENER_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/http_text.h
@@ -0,0 +1,30 @@
+#ifndef LIBASYNCHTTP_HTTP_TEXT_H_
+#define LIBASYNCHTTP_HTTP_TEXT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "LibAsyncHttp/http_head.h"
+
+namespace crocus {
+
+/// Serialises a request with a body of known length.
+std::string RequestText(const RequestHead& head, std::string_view body);
+
+/// Serialises the status line and the fields with the empty line after them.
+std::string ResponseHeadText(std::uint32_t status,
+                             std::string_view reason,
+                             const HeaderFields& fields);
+
+/// One chunk of a chunked body; `bytes` must not be empty.
+std::string ChunkText(std::string_view bytes);
+
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+
+/// The usual reason phrase of a status code.
+std::string ReasonPhrase(std::uint32_t status);
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_HTTP_TEXT_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -0,0 +1,68 @@
+#include "LibAsyncHttp/response_parser.h"
+
+#include <limits>
+#include <utility>
+
+#include <boost/beast/http/error.hpp>
+
+namespace crocus {
+
+ResponseParser::ResponseParser() {
+  this->eager(true);
+  // Bodies pass through piece by piece, so their length is not limited here.
+  this->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+std::string ResponseParser::TakeBody() {
+  return std::exchange(this->body, std::string());
+}
+
+void ResponseParser::on_request_impl(boost::beast::http::verb,
+                                     Text,
+                                     Text,
+                                     int,
+                                     ErrorCode& error) {
+  error = boost::beast::http::error::bad_status;
+}
+
+void ResponseParser::on_response_impl(int status,
+                                      Text reason,
+                                      int,
+                                      ErrorCode&) {
+  this->collected.status = static_cast<std::uint32_t>(status);
+  this->collected.reason = std::string(reason);
+}
+
+void ResponseParser::on_field_impl(boost::beast::http::field,
+                                   Text name,
+                                   Text value,
+                                   ErrorCode&) {
+  this->collected.fields.Add(std::string(name), std::string(value));
+}
+
+void ResponseParser::on_header_impl(ErrorCode&) {
+  this->collected.keep_alive = this->keep_alive();
+  if (const auto length = this->content_length()) {
+    this->collected.content_length = *length;
+  }
+}
+
+void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>&,
+                                       ErrorCode&) {}
+
+std::size_t ResponseParser::on_body_impl(Text bytes, ErrorCode&) {
+  this->body.append(bytes.data(), bytes.size());
+  return bytes.size();
+}
+
+void ResponseParser::on_chunk_header_impl(std::uint64_t, Text, ErrorCode&) {}
+
+std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t,
+                                               Text bytes,
+                                               ErrorCode& error) {
+  return this->on_body_impl(bytes, error);
+}
+
+void ResponseParser::on_finish_impl(ErrorCode&) {}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -0,0 +1,124 @@
+#ifndef LIBASYNCHTTP_SERVER_SESSION_H_
+#define LIBASYNCHTTP_SERVER_SESSION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include "LibAsyncHttp/http_head.h"
+#include "LibAsyncHttp/request_parser.h"
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// What a caller may send, and how long it may take.
+struct SessionLimits {
+  RequestParserOptions request;
+  /// From the first byte of a request to the end of its header.
+  std::chrono::milliseconds header_time{3000};
+  /// Between requests, and between reads of a body.
+  std::chrono::milliseconds idle_time{15000};
+
+  bool operator==(const SessionLimits&) const = default;
+};
+
+class ServerSession;
+
+struct SessionOptions {
+  /// Read anew for each request, since limits change with the configuration.
+  std::function<SessionLimits()> limits;
+  std::function<void(std::shared_ptr<ServerSession>, Request)> on_request;
+  /// Called once when the connection is closed.
+  std::function<void(const ServerSession*)> on_closed;
+};
+
+/// One caller's connection. Requests are handled one after the other; while
+/// one is handled the connection is still read, so that a caller who leaves is
+/// noticed. All calls come from the event loop's thread.
+class ServerSession : public std::enable_shared_from_this<ServerSession> {
+ public:
+  ServerSession(boost::asio::ip::tcp::socket socket,
+                std::shared_ptr<const SessionOptions> options);
+
+  void Start();
+
+  /// Called if the caller leaves before the running request is answered.
+  void set_caller_left(std::function<void()> callback) {
+    this->caller_left = std::move(callback);
+  }
+
+  /// Sends a whole response.
+  void Respond(std::uint32_t status, HeaderFields fields, std::string body);
+  /// Starts a response whose body follows through SendBody. Without a length
+  /// the body is chunked.
+  void StartResponse(std::uint32_t status,
+                     std::string_view reason,
+                     HeaderFields fields,
+                     std::optional<std::uint64_t> content_length);
+  void SendBody(std::string_view bytes);
+  /// Ends the response as complete.
+  void FinishResponse();
+  /// Closes the connection, so that a response in progress is seen as broken.
+  void Abort();
+
+  /// Closes the connection as soon as no request is being handled.
+  void CloseWhenIdle();
+
+  /// Announces with each further response that the connection closes after it.
+  void AnnounceClose() { this->closes_after_response = true; }
+
+  bool is_handling() const { return this->state == State::kHandling; }
+  bool is_open() const { return this->socket.is_open(); }
+  /// Bytes that wait for a slow caller.
+  std::size_t unsent_bytes() const { return this->unsent.size(); }
+  /// When the first byte of the running request was read.
+  TimePoint request_started() const { return this->started; }
+
+ private:
+  enum class State { kReading, kHandling };
+
+  void Read();
+  void Parse();
+  void HandleComplete();
+  void RejectMalformed(std::uint32_t status);
+  void SetTimer(std::chrono::milliseconds time);
+  void Write(std::string bytes);
+  void WriteNext();
+  void FinishExchange();
+  void Close();
+
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  const std::shared_ptr<const SessionOptions> options;
+  boost::beast::flat_buffer input;
+  std::unique_ptr<RequestParser> parser;
+  State state = State::kReading;
+  bool is_reading = false;
+  bool is_parsing = false;
+  bool is_writing = false;
+  bool is_chunked = false;
+  bool has_body = true;
+  bool request_keeps_alive = true;
+  bool closes_after_response = false;
+  bool closes_after_write = false;
+  bool closes_when_idle = false;
+  bool is_head_request = false;
+  bool sent_continue = false;
+  std::string unsent;
+  std::string in_flight;
+  TimePoint started{};
+  std::function<void()> caller_left;
+};
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_SERVER_SESSION_H_
--- /dev/null
+++ b/Libraries/LibAsyncHttp/socket_options.h
@@ -0,0 +1,14 @@
+#ifndef LIBASYNCHTTP_SOCKET_OPTIONS_H_
+#define LIBASYNCHTTP_SOCKET_OPTIONS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace crocus {
+
+/// Turns off Nagle's algorithm and bounds how long sent bytes may stay
+/// unacknowledged, so that a silent peer is noticed.
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace crocus
+
+#endif  // LIBASYNCHTTP_SOCKET_OPTIONS_H_
--- a/Libraries/LibCore/stop_signal.cc
+++ b/Libraries/LibCore/stop_signal.cc
@@ -27,6 +27,11 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+void UnblockStopSignals() {
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 std::string WaitForStopSignal() {
   const sigset_t signals = StopSignals();
   int received = 0;
--- a/Libraries/LibCore/stop_signal.h
+++ b/Libraries/LibCore/stop_signal.h
@@ -10,6 +10,9 @@
 /// in main before any thread starts; also ignores SIGPIPE.
 void BlockStopSignals();
 
+/// Undoes BlockStopSignals for a program whose event loop takes the signals.
+void UnblockStopSignals();
+
 /// Waits until the process is told to stop; returns the signal's name.
 std::string WaitForStopSignal();
 
--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace crocus {
 
@@ -16,6 +17,16 @@
       std::chrono::steady_clock::now());
 }
 
+/// Reads the clock that also counts the time in which the host was suspended.
+/// Deadlines use it: the monotonic clock stands still during a suspension.
+inline TimePoint BootTimeNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 /// Milliseconds since the Unix epoch, from the wall clock.
 inline std::int64_t UnixMilliseconds() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
--- /dev/null
+++ b/Libraries/LibEvents/bounded_line_backend.h
@@ -0,0 +1,35 @@
+#ifndef LIBEVENTS_BOUNDED_LINE_BACKEND_H_
+#define LIBEVENTS_BOUNDED_LINE_BACKEND_H_
+
+#include <cstdint>
+#include <string>
+
+#include <boost/log/core/record_view.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+
+namespace crocus {
+
+/// Writes log lines to a descriptor without waiting. Lines above the rate, and
+/// those that the descriptor has no room for, are dropped and counted.
+class BoundedLineBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<char> {
+ public:
+  BoundedLineBackend(int descriptor, std::uint32_t lines_per_second);
+
+  void consume(const boost::log::record_view& record, const std::string& line);
+
+ private:
+  /// False if the rate is used up.
+  bool TakeToken();
+  bool WriteLine(const std::string& line);
+
+  const int descriptor;
+  const double lines_per_second;
+  double tokens;
+  double refilled_seconds = 0;
+  std::uint64_t dropped = 0;
+};
+
+}  // namespace crocus
+
+#endif  // LIBEVENTS_BOUNDED_LINE_BACKEND_H_
--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -109,6 +109,56 @@
       return "replica_ejected";
     case Event::kReplicaReturned:
       return "replica_returned";
+    case Event::kOnlineRequestEnded:
+      return "online_request_ended";
+    case Event::kOnlineRequestRefused:
+      return "online_request_refused";
+    case Event::kReplicaAttemptFailed:
+      return "replica_attempt_failed";
+    case Event::kOnlineCallerLeft:
+      return "online_caller_left";
+    case Event::kConfigurationInForce:
+      return "configuration_in_force";
+    case Event::kConfigurationRejected:
+      return "configuration_rejected";
+    case Event::kReplicaChanged:
+      return "replica_changed";
+    case Event::kReplicaEntryRejected:
+      return "replica_entry_rejected";
+    case Event::kStoreTopicLost:
+      return "store_topic_lost";
+    case Event::kStoreTopicRegained:
+      return "store_topic_regained";
+    case Event::kReadinessChanged:
+      return "readiness_changed";
+    case Event::kAcceptFailed:
+      return "accept_failed";
+    case Event::kLogLinesDropped:
+      return "log_lines_dropped";
+    case Event::kReplicaPaused:
+      return "replica_paused";
+    case Event::kJobSubmissionEnded:
+      return "job_submission_ended";
+    case Event::kBatchItemEnded:
+      return "batch_item_ended";
+    case Event::kBatchItemStopped:
+      return "batch_item_stopped";
+    case Event::kBatchPartitionsChanged:
+      return "batch_partitions_changed";
+    case Event::kBatchAppendFailed:
+      return "batch_append_failed";
+    case Event::kBatchRecordRejected:
+      return "batch_record_rejected";
+    case Event::kJobReadRefused:
+      return "job_read_refused";
+    case Event::kPeerChanged:
+      return "peer_changed";
+    case Event::kPeerReportRejected:
+      return "peer_report_rejected";
+    case Event::kSettingsReloaded:
+      return "settings_reloaded";
+    case Event::kGroupJoinFailed:
+      return "group_join_failed";
   }
   return "unknown";
 }
@@ -120,6 +170,7 @@
     case Event::kAttemptStarted:
     case Event::kAttemptFinished:
     case Event::kStreamCancelled:
+    case Event::kBatchItemStopped:
       return Severity::kDebug;
     case Event::kProgramStarted:
     case Event::kProgramStopped:
@@ -149,6 +200,19 @@
     case Event::kJobCancelled:
     case Event::kSnapshotWritten:
     case Event::kReplicaReturned:
+    case Event::kOnlineRequestEnded:
+    case Event::kOnlineRequestRefused:
+    case Event::kOnlineCallerLeft:
+    case Event::kConfigurationInForce:
+    case Event::kReplicaChanged:
+    case Event::kStoreTopicRegained:
+    case Event::kReadinessChanged:
+    case Event::kJobSubmissionEnded:
+    case Event::kBatchItemEnded:
+    case Event::kBatchPartitionsChanged:
+    case Event::kJobReadRefused:
+    case Event::kPeerChanged:
+    case Event::kSettingsReloaded:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
@@ -161,6 +225,15 @@
     case Event::kPartitionLost:
     case Event::kItemGivenUp:
     case Event::kReplicaEjected:
+    case Event::kReplicaAttemptFailed:
+    case Event::kReplicaEntryRejected:
+    case Event::kStoreTopicLost:
+    case Event::kAcceptFailed:
+    case Event::kLogLinesDropped:
+    case Event::kReplicaPaused:
+    case Event::kBatchAppendFailed:
+    case Event::kPeerReportRejected:
+    case Event::kGroupJoinFailed:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
@@ -170,6 +243,8 @@
     case Event::kResultsLeft:
     case Event::kStreamHeadLost:
     case Event::kRulesStateUnknown:
+    case Event::kConfigurationRejected:
+    case Event::kBatchRecordRejected:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibEvents/event_log.cc
+++ b/Libraries/LibEvents/event_log.cc
@@ -1,5 +1,7 @@
 #include "LibEvents/event_log.h"
 
+#include <unistd.h>
+
 #include <atomic>
 #include <ctime>
 #include <iomanip>
@@ -15,6 +17,8 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
 
+#include "LibEvents/bounded_line_backend.h"
+
 namespace crocus {
 
 namespace {
@@ -91,6 +95,17 @@
   minimum_severity = minimum;
 }
 
+void StartBoundedEventLog(Severity minimum, std::uint32_t lines_per_second) {
+  namespace sinks = boost::log::sinks;
+  auto sink = boost::make_shared<sinks::synchronous_sink<BoundedLineBackend>>(
+      boost::make_shared<BoundedLineBackend>(STDOUT_FILENO, lines_per_second));
+  sink->set_formatter(boost::log::expressions::stream
+                      << boost::log::expressions::smessage);
+  boost::log::core::get()->remove_all_sinks();
+  boost::log::core::get()->add_sink(sink);
+  minimum_severity = minimum;
+}
+
 void LogEvent(Event event, std::initializer_list<EventField> fields) {
   const Severity severity = EventSeverity(event);
   if (severity < minimum_severity.load(std::memory_order_relaxed)) {
--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -40,6 +40,7 @@
   kDrain = 18,
   kLoadChange = 30,
   kOrderFloor = 31,
+  kOutstandingReport = 32,
 };
 
 /// True if this version defines the type.
@@ -65,6 +66,7 @@
     case MessageType::kDrain:
     case MessageType::kLoadChange:
     case MessageType::kOrderFloor:
+    case MessageType::kOutstandingReport:
       return true;
   }
   return false;
@@ -538,6 +540,40 @@
   }
 };
 
+/// Requests that one host has running at a replica.
+struct ReplicaOutstanding {
+  /// Id of the replica in the registry.
+  std::string replica{};
+  std::uint16_t online{0};
+  std::uint16_t batch{0};
+
+  bool operator==(const ReplicaOutstanding&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica, online, batch);
+  }
+};
+
+/// Sent between gateways by UDP; replaces the sender's report before. Replicas
+/// that are left out have nothing running.
+struct OutstandingReport {
+  static constexpr MessageType kType = MessageType::kOutstandingReport;
+
+  /// Chosen at random by each start of a process.
+  std::uint64_t sender{0};
+  /// Goes up with each report of a sender; older ones are dropped.
+  std::uint64_t sequence{0};
+  std::vector<ReplicaOutstanding> replicas{};
+
+  bool operator==(const OutstandingReport&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, sequence, replicas);
+  }
+};
+
 }  // namespace crocus::messages
 
 #endif  // LIBMESSAGES_MESSAGES_H_
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -40,6 +40,9 @@
   kTimeMark = 23,
   kDaemonRegistered = 30,
   kEngineOrderIssued = 31,
+  kBatchJobAccepted = 60,
+  kBatchItemFinished = 61,
+  kBatchJobEnded = 62,
 };
 
 /// True if this version defines the type.
@@ -65,6 +68,9 @@
     case RecordType::kTimeMark:
     case RecordType::kDaemonRegistered:
     case RecordType::kEngineOrderIssued:
+    case RecordType::kBatchJobAccepted:
+    case RecordType::kBatchItemFinished:
+    case RecordType::kBatchJobEnded:
       return true;
   }
   return false;
@@ -574,6 +580,95 @@
   }
 };
 
+/// A header field of a batch item.
+struct BatchField {
+  std::string name{};
+  std::string value{};
+
+  bool operator==(const BatchField&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(name, value);
+  }
+};
+
+/// One item of a submitted batch job, without its body.
+struct BatchItemSpec {
+  std::string id{};
+  std::string path{};
+  std::vector<BatchField> fields{};
+  /// Prompt tokens and the limit of output tokens together.
+  std::uint64_t tokens{0};
+  /// Number of records that hold the body.
+  std::uint32_t body_parts{0};
+
+  bool operator==(const BatchItemSpec&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(id, path, fields, tokens, body_parts);
+  }
+};
+
+/// A batch job. It counts from this record on; the records with its bodies come
+/// before it.
+struct BatchJobAccepted {
+  static constexpr RecordType kType = RecordType::kBatchJobAccepted;
+
+  std::string job{};
+  /// Part of the keys of the records of this copy of the submission.
+  std::string tag{};
+  /// Name of the route at the submission.
+  std::string route{};
+  std::string host{};
+  /// Path of the submission; finds the route if it was renamed.
+  std::string path{};
+  /// In ms since the Unix epoch, by the clock of the accepting host.
+  std::int64_t submitted_ms{0};
+  std::vector<BatchItemSpec> items{};
+
+  bool operator==(const BatchJobAccepted&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, tag, route, host, path, submitted_ms, items);
+  }
+};
+
+/// The final state of an item. The first such record of an item counts.
+struct BatchItemFinished {
+  static constexpr RecordType kType = RecordType::kBatchItemFinished;
+
+  std::string job{};
+  /// Position of the item in its job.
+  std::uint32_t item{0};
+  /// False if the item was given up.
+  bool completed{false};
+  std::string text{};
+
+  bool operator==(const BatchItemFinished&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, item, completed, text);
+  }
+};
+
+/// The caller has ended the job.
+struct BatchJobEnded {
+  static constexpr RecordType kType = RecordType::kBatchJobEnded;
+
+  std::string job{};
+
+  bool operator==(const BatchJobEnded&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- /dev/null
+++ b/Libraries/LibServing/batch_board.cc
@@ -0,0 +1,158 @@
+#include "LibServing/batch_board.h"
+
+#include <utility>
+
+#include "LibCore/text.h"
+#include "LibMessages/codec.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::string_view kJobKind = "job";
+constexpr std::string_view kBodyKind = "body";
+constexpr std::string_view kFinishedKind = "done";
+constexpr std::string_view kEndedKind = "end";
+
+std::string MakeKey(std::string_view kind,
+                    const std::string& job,
+                    const std::string& rest) {
+  return std::string(kind) + "/" + job + "/" + rest;
+}
+
+}  // namespace
+
+std::string JobKey(const std::string& job, const std::string& tag) {
+  return MakeKey(kJobKind, job, tag);
+}
+
+std::string BodyKey(const std::string& job,
+                    const std::string& tag,
+                    std::size_t item,
+                    std::size_t part) {
+  return MakeKey(kBodyKind, job,
+                 tag + "/" + std::to_string(item) + "/" + std::to_string(part));
+}
+
+std::string FinishedKey(const std::string& job,
+                        std::size_t item,
+                        const std::string& tag) {
+  return MakeKey(kFinishedKind, job, std::to_string(item) + "/" + tag);
+}
+
+std::string EndedKey(const std::string& job, const std::string& tag) {
+  return MakeKey(kEndedKind, job, tag);
+}
+
+std::uint64_t BoardJob::open_tokens() const {
+  std::uint64_t tokens = 0;
+  for (const auto& item : this->items) {
+    tokens += item.state == ItemState::kOpen ? item.spec.tokens : 0;
+  }
+  return tokens;
+}
+
+Result<void> BatchBoard::Apply(const KeyedRecord& record) {
+  const auto parts = Split(record.key, '/');
+  if (parts.size() < 3) {
+    return Failure(ErrorCode::kCorrupt, "unknown key");
+  }
+  const std::string& job = parts[1];
+  if (!record.value) {
+    // Records are dropped only when their job has expired.
+    this->bodies.erase(record.key);
+    this->all.erase(job);
+    this->keys.erase(job);
+    return {};
+  }
+  this->keys[job].push_back(record.key);
+  if (parts[0] == kBodyKind) {
+    this->bodies[record.key] = *record.value;
+    return {};
+  }
+  if (parts[0] == kJobKind) {
+    return this->AcceptJob(record);
+  }
+  if (parts[0] == kFinishedKind) {
+    return this->FinishItem(record);
+  }
+  if (parts[0] == kEndedKind) {
+    return this->EndJob(record);
+  }
+  return Failure(ErrorCode::kCorrupt, "unknown key");
+}
+
+Result<void> BatchBoard::AcceptJob(const KeyedRecord& record) {
+  TRY_ASSIGN(auto accepted, Decode<records::BatchJobAccepted>(*record.value));
+  const bool is_first = !this->all.contains(accepted.job);
+  BoardJob job;
+  for (std::size_t i = 0; i < accepted.items.size(); ++i) {
+    BoardItem item{.spec = accepted.items[i]};
+    for (std::size_t part = 0; part < item.spec.body_parts; ++part) {
+      const auto body =
+          this->bodies.find(BodyKey(accepted.job, accepted.tag, i, part));
+      if (body == this->bodies.end()) {
+        return Failure(ErrorCode::kCorrupt, "body is missing");
+      }
+      item.body += body->second;
+      this->bodies.erase(body);
+    }
+    job.items.push_back(std::move(item));
+  }
+  if (is_first) {
+    std::string id = accepted.job;
+    job.record = std::move(accepted);
+    this->all.emplace(std::move(id), std::move(job));
+  }
+  return {};
+}
+
+Result<void> BatchBoard::FinishItem(const KeyedRecord& record) {
+  TRY_ASSIGN(auto finished, Decode<records::BatchItemFinished>(*record.value));
+  const auto found = this->all.find(finished.job);
+  if (found == this->all.end() || finished.item >= found->second.items.size()) {
+    return Failure(ErrorCode::kCorrupt, "result of an unknown item");
+  }
+  BoardItem& item = found->second.items[finished.item];
+  if (item.state != ItemState::kOpen) {
+    return {};
+  }
+  item.state =
+      finished.completed ? ItemState::kCompleted : ItemState::kAbandoned;
+  item.text = std::move(finished.text);
+  item.body = std::string();
+  found->second.listing.push_back(finished.item);
+  return {};
+}
+
+Result<void> BatchBoard::EndJob(const KeyedRecord& record) {
+  TRY_ASSIGN(const auto ended, Decode<records::BatchJobEnded>(*record.value));
+  const auto found = this->all.find(ended.job);
+  if (found == this->all.end()) {
+    return Failure(ErrorCode::kCorrupt, "end of an unknown job");
+  }
+  found->second.is_ended = true;
+  return {};
+}
+
+const BoardJob* BatchBoard::Find(const std::string& job) const {
+  const auto found = this->all.find(job);
+  return found == this->all.end() ? nullptr : &found->second;
+}
+
+std::uint64_t BatchBoard::OpenTokens(const std::string& route) const {
+  std::uint64_t tokens = 0;
+  for (const auto& [id, job] : this->all) {
+    if (!job.is_ended && job.record.route == route) {
+      tokens += job.open_tokens();
+    }
+  }
+  return tokens;
+}
+
+std::vector<std::string> BatchBoard::KeysOf(const std::string& job) const {
+  const auto found = this->keys.find(job);
+  return found == this->keys.end() ? std::vector<std::string>() : found->second;
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibServing/batch_board.h
@@ -0,0 +1,80 @@
+#ifndef LIBSERVING_BATCH_BOARD_H_
+#define LIBSERVING_BATCH_BOARD_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/result.h"
+#include "LibMessages/records.h"
+#include "LibServing/keyed_record.h"
+
+namespace crocus {
+
+enum class ItemState { kOpen, kCompleted, kAbandoned };
+
+struct BoardItem {
+  records::BatchItemSpec spec;
+  /// Kept while the item is open.
+  std::string body;
+  ItemState state = ItemState::kOpen;
+  std::string text;
+};
+
+struct BoardJob {
+  records::BatchJobAccepted record;
+  std::vector<BoardItem> items;
+  /// Finished items in the order of their listing.
+  std::vector<std::uint32_t> listing;
+  bool is_ended = false;
+
+  std::uint64_t open_tokens() const;
+};
+
+/// The batch jobs, as the store's records tell. Each host that applies the
+/// same records in the order of their offsets has the same jobs, results and
+/// positions. Not thread-safe.
+class BatchBoard {
+ public:
+  /// Applies a record; those must come in the order of their offsets. Fails
+  /// with kCorrupt if it cannot be decoded.
+  Result<void> Apply(const KeyedRecord& record);
+
+  const BoardJob* Find(const std::string& job) const;
+  const std::map<std::string, BoardJob>& jobs() const { return this->all; }
+
+  /// Tokens of the open items of all jobs of a route that have not ended.
+  std::uint64_t OpenTokens(const std::string& route) const;
+
+  /// Keys of all records of a job, so that they can be dropped.
+  std::vector<std::string> KeysOf(const std::string& job) const;
+
+ private:
+  Result<void> AcceptJob(const KeyedRecord& record);
+  Result<void> FinishItem(const KeyedRecord& record);
+  Result<void> EndJob(const KeyedRecord& record);
+
+  std::map<std::string, BoardJob> all;
+  /// Bodies whose job record has not come yet, by key.
+  std::map<std::string, std::string> bodies;
+  std::map<std::string, std::vector<std::string>> keys;
+};
+
+/// Keys of the records. `tag` is unique for each append that is tried, so that
+/// a record which is sent again after a lost reply does not replace the first
+/// one and change its offset.
+std::string JobKey(const std::string& job, const std::string& tag);
+std::string BodyKey(const std::string& job,
+                    const std::string& tag,
+                    std::size_t item,
+                    std::size_t part);
+std::string FinishedKey(const std::string& job,
+                        std::size_t item,
+                        const std::string& tag);
+std::string EndedKey(const std::string& job, const std::string& tag);
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_BATCH_BOARD_H_
--- /dev/null
+++ b/Libraries/LibServing/batch_queue.h
@@ -0,0 +1,92 @@
+#ifndef LIBSERVING_BATCH_QUEUE_H_
+#define LIBSERVING_BATCH_QUEUE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibCore/time.h"
+#include "LibServing/batch_board.h"
+#include "LibServing/routing_config.h"
+
+namespace crocus {
+
+/// An item of a job.
+struct ItemReference {
+  std::string job;
+  std::uint32_t item = 0;
+
+  auto operator<=>(const ItemReference&) const = default;
+};
+
+/// What runs of an item have brought so far.
+struct ItemProgress {
+  /// Data of the events, separated by line feeds.
+  std::string text;
+  std::optional<std::uint64_t> last_event;
+  std::uint64_t events = 0;
+  /// Answers that count as failed attempts.
+  std::uint32_t failures = 0;
+  std::uint32_t attempts = 0;
+  /// Replicas where the last attempts failed.
+  std::set<std::string> avoided;
+  TimePoint not_before{};
+  TimePoint first_started{};
+};
+
+/// The open items of the jobs that this host runs, and which goes next. Not
+/// thread-safe.
+class BatchQueue {
+ public:
+  /// Jobs of these partitions, out of `partition_count`, are this host's.
+  void SetPartitions(std::set<std::uint32_t> partitions,
+                     std::uint32_t partition_count);
+  bool IsOwn(const std::string& job) const;
+  const std::set<std::uint32_t>& partitions() const { return this->own; }
+
+  /// The item to start next: of the job that is due first, the first item in
+  /// order. Items that run, that have their final state or that wait after a
+  /// failure are passed over.
+  std::optional<ItemReference> Next(const BatchBoard& board,
+                                    const RoutingConfig& config,
+                                    TimePoint now) const;
+
+  /// Open items that may be given up: their job's retention has passed.
+  std::vector<ItemReference> Overdue(const BatchBoard& board,
+                                     const RoutingConfig& config,
+                                     std::int64_t unix_milliseconds) const;
+
+  ItemProgress& Progress(const ItemReference& item);
+  void SetRunning(const ItemReference& item, bool is_running);
+  /// The item has its final state, although the board may not show it yet.
+  void SetFinished(const ItemReference& item);
+  bool IsFinished(const ItemReference& item) const;
+
+  /// Forgets what it knows of items that the board shows as finished.
+  void Prune(const BatchBoard& board);
+
+ private:
+  std::set<std::uint32_t> own;
+  std::uint32_t partition_count = 1;
+  std::map<ItemReference, ItemProgress> progress;
+  std::set<ItemReference> running;
+  std::set<ItemReference> finished;
+};
+
+/// The route of a job under that configuration: by its name, or by host and
+/// path if it was renamed. None if it was removed.
+const Route* RouteOfJob(const RoutingConfig& config,
+                        const records::BatchJobAccepted& job);
+
+/// The endpoint that runs a job's items. All of them go to one endpoint while
+/// the route's weights stay.
+std::string EndpointOfJob(const Route& route, const std::string& job);
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_BATCH_QUEUE_H_
--- /dev/null
+++ b/Libraries/LibServing/event_stream.h
@@ -0,0 +1,39 @@
+#ifndef LIBSERVING_EVENT_STREAM_H_
+#define LIBSERVING_EVENT_STREAM_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace crocus {
+
+/// One event of a text/event-stream.
+struct StreamEvent {
+  /// The bytes with the empty line that ends the event.
+  std::string bytes;
+  std::optional<std::uint64_t> id;
+  /// Its data lines, separated by line feeds.
+  std::string data;
+  bool has_data = false;
+
+  bool operator==(const StreamEvent&) const = default;
+};
+
+/// Splits a text/event-stream into whole events.
+class EventStream {
+ public:
+  /// Takes further bytes and returns the events that they complete.
+  std::vector<StreamEvent> Feed(std::string_view bytes);
+
+  /// Bytes after the last whole event.
+  const std::string& rest() const { return this->pending; }
+
+ private:
+  std::string pending;
+};
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_EVENT_STREAM_H_
--- /dev/null
+++ b/Libraries/LibServing/placement.cc
@@ -0,0 +1,119 @@
+#include "LibServing/placement.h"
+
+#include <algorithm>
+
+namespace crocus {
+
+namespace {
+
+/// Service time of an endpoint that has not served yet.
+constexpr double kInitialServiceSeconds = 0.3;
+constexpr double kNewestServiceWeight = 0.05;
+
+}  // namespace
+
+Placement::Placement(PlacementOptions options,
+                     const ReplicaDirectory& directory,
+                     const ReplicaLoads& loads,
+                     std::uint64_t seed)
+    : options(std::move(options)),
+      directory(directory),
+      loads(loads),
+      random(seed) {}
+
+Duration Placement::DistanceCost(const ReplicaRecord& replica) const {
+  if (replica.availability_zone == this->options.availability_zone) {
+    return {};
+  }
+  const auto region = this->options.regions.find(replica.availability_zone);
+  return region != this->options.regions.end() &&
+                 region->second == this->options.region
+             ? this->options.other_zone_cost
+             : this->options.other_region_cost;
+}
+
+std::vector<const ReplicaRecord*> Placement::Candidates(
+    const std::string& endpoint,
+    const std::set<std::string>& tried,
+    TimePoint now) const {
+  auto candidates = this->directory.Available(endpoint);
+  std::erase_if(candidates, [&tried](const ReplicaRecord* replica) {
+    return tried.contains(replica->id);
+  });
+  const auto is_paused = [this, now](const ReplicaRecord* replica) {
+    return this->loads.IsPaused(replica->id, now);
+  };
+  // With all of them paused the pauses say more about this host than about the
+  // replicas.
+  if (!std::all_of(candidates.begin(), candidates.end(), is_paused)) {
+    std::erase_if(candidates, is_paused);
+  }
+  return candidates;
+}
+
+std::optional<PlacementChoice> Placement::ChooseOnline(
+    const std::string& endpoint,
+    const std::set<std::string>& tried,
+    TimePoint now) {
+  const Duration service_time = this->MeanServiceTime(endpoint);
+  std::optional<PlacementChoice> best;
+  double best_cost = 0;
+  for (const auto* replica : this->Candidates(endpoint, tried, now)) {
+    const Outstanding load = this->loads.Total(replica->id, now);
+    const std::uint32_t ahead =
+        load.total() < replica->slots ? 0 : load.total() - replica->slots + 1;
+    const Duration wait = service_time * ahead / replica->slots;
+    // Among replicas with a free slot, the emptier one is a little faster.
+    // The random part spreads the choices of hosts with the same view.
+    const double cost = ToSeconds(wait + this->DistanceCost(*replica)) +
+                        0.002 * load.total() / replica->slots +
+                        0.001 * this->random.Unit();
+    if (!best || cost < best_cost) {
+      best_cost = cost;
+      best = PlacementChoice{.replica = replica->id,
+                             .load = load,
+                             .slots = replica->slots,
+                             .expected_wait = wait};
+    }
+  }
+  return best;
+}
+
+std::optional<PlacementChoice> Placement::ChooseBatch(
+    const std::string& endpoint,
+    const std::set<std::string>& tried,
+    TimePoint now) {
+  std::optional<PlacementChoice> best;
+  double best_cost = 0;
+  for (const auto* replica : this->Candidates(endpoint, tried, now)) {
+    const Outstanding load = this->loads.Total(replica->id, now);
+    if (load.total() + this->options.batch_reserve >= replica->slots ||
+        this->loads.IsPaused(replica->id, now)) {
+      continue;
+    }
+    const double cost = static_cast<double>(load.total()) / replica->slots +
+                        ToSeconds(this->DistanceCost(*replica)) +
+                        0.01 * this->random.Unit();
+    if (!best || cost < best_cost) {
+      best_cost = cost;
+      best = PlacementChoice{
+          .replica = replica->id, .load = load, .slots = replica->slots};
+    }
+  }
+  return best;
+}
+
+void Placement::OnServed(const std::string& endpoint, Duration time) {
+  const auto [entry, is_new] =
+      this->mean_service_seconds.try_emplace(endpoint, kInitialServiceSeconds);
+  entry->second += kNewestServiceWeight * (ToSeconds(time) - entry->second);
+}
+
+Duration Placement::MeanServiceTime(const std::string& endpoint) const {
+  const auto found = this->mean_service_seconds.find(endpoint);
+  return FromSeconds(found == this->mean_service_seconds.end()
+                         ? kInitialServiceSeconds
+                         : found->second);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibServing/placement.h
@@ -0,0 +1,84 @@
+#ifndef LIBSERVING_PLACEMENT_H_
+#define LIBSERVING_PLACEMENT_H_
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibCore/random.h"
+#include "LibCore/time.h"
+#include "LibServing/replica_directory.h"
+#include "LibServing/replica_loads.h"
+
+namespace crocus {
+
+struct PlacementOptions {
+  std::string availability_zone;
+  std::string region;
+  /// Region of each availability zone.
+  std::map<std::string, std::string> regions;
+  /// Time that a detour to another zone or region is taken to cost. It is
+  /// above the round trip, since those bytes are paid for.
+  Duration other_zone_cost = std::chrono::milliseconds(4);
+  Duration other_region_cost = std::chrono::milliseconds(40);
+  /// Slots of a replica that batch work leaves free for online arrivals.
+  std::uint32_t batch_reserve = 1;
+  /// Requests that may wait at a replica when all its slots are taken, for
+  /// each slot.
+  double queue_share = 0.5;
+};
+
+struct PlacementChoice {
+  std::string replica;
+  Outstanding load;
+  std::uint32_t slots = 1;
+  /// Time until the replica is expected to begin with the request.
+  Duration expected_wait{};
+};
+
+/// Chooses replicas for requests. Not thread-safe.
+class Placement {
+ public:
+  Placement(PlacementOptions options,
+            const ReplicaDirectory& directory,
+            const ReplicaLoads& loads,
+            std::uint64_t seed);
+
+  /// The replica that is expected to begin first with an online request,
+  /// distance included. None if no replica is known that was not tried.
+  std::optional<PlacementChoice> ChooseOnline(
+      const std::string& endpoint,
+      const std::set<std::string>& tried,
+      TimePoint now);
+
+  /// The emptiest replica with a slot for batch work.
+  std::optional<PlacementChoice> ChooseBatch(const std::string& endpoint,
+                                             const std::set<std::string>& tried,
+                                             TimePoint now);
+
+  /// Takes a finished request into account for the expected waits.
+  void OnServed(const std::string& endpoint, Duration time);
+
+  /// Mean time for which a request of the endpoint holds a slot.
+  Duration MeanServiceTime(const std::string& endpoint) const;
+
+ private:
+  Duration DistanceCost(const ReplicaRecord& replica) const;
+  /// Records that were not tried, without the paused ones if others are left.
+  std::vector<const ReplicaRecord*> Candidates(
+      const std::string& endpoint,
+      const std::set<std::string>& tried,
+      TimePoint now) const;
+
+  const PlacementOptions options;
+  const ReplicaDirectory& directory;
+  const ReplicaLoads& loads;
+  Random random;
+  std::map<std::string, double> mean_service_seconds;
+};
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_PLACEMENT_H_
--- /dev/null
+++ b/Libraries/LibServing/replica_loads.cc
@@ -0,0 +1,95 @@
+#include "LibServing/replica_loads.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibCore/assertions.h"
+
+namespace crocus {
+
+namespace {
+
+std::uint32_t& CountOf(Outstanding& outstanding, WorkClass work) {
+  return work == WorkClass::kOnline ? outstanding.online : outstanding.batch;
+}
+
+}  // namespace
+
+void ReplicaLoads::OnSent(const std::string& replica, WorkClass work) {
+  ++CountOf(this->own[replica], work);
+}
+
+void ReplicaLoads::OnEnded(const std::string& replica, WorkClass work) {
+  auto& count = CountOf(this->own[replica], work);
+  VERIFY(count > 0);
+  --count;
+}
+
+void ReplicaLoads::Pause(Health& health, TimePoint now) const {
+  health.pause = std::clamp(2 * health.pause, this->options.shortest_pause,
+                            this->options.longest_pause);
+  health.paused_until = now + health.pause;
+}
+
+void ReplicaLoads::OnUnreachable(const std::string& replica, TimePoint now) {
+  this->Pause(this->health[replica], now);
+}
+
+void ReplicaLoads::OnFailure(const std::string& replica, TimePoint now) {
+  Health& health = this->health[replica];
+  if (++health.failures >= this->options.failures_before_pause) {
+    this->Pause(health, now);
+  }
+}
+
+void ReplicaLoads::OnSuccess(const std::string& replica) {
+  this->health.erase(replica);
+}
+
+void ReplicaLoads::OnPeerReport(const std::string& peer,
+                                std::map<std::string, Outstanding> loads,
+                                TimePoint now) {
+  this->peers[peer] = {.loads = std::move(loads), .received = now};
+}
+
+Outstanding ReplicaLoads::Own(const std::string& replica) const {
+  const auto found = this->own.find(replica);
+  return found == this->own.end() ? Outstanding{} : found->second;
+}
+
+Outstanding ReplicaLoads::Total(const std::string& replica,
+                                TimePoint now) const {
+  Outstanding total = this->Own(replica);
+  for (const auto& [peer, report] : this->peers) {
+    if (now - report.received > this->options.peer_report_life) {
+      continue;
+    }
+    if (const auto found = report.loads.find(replica);
+        found != report.loads.end()) {
+      total.online += found->second.online;
+      total.batch += found->second.batch;
+    }
+  }
+  return total;
+}
+
+std::map<std::string, Outstanding> ReplicaLoads::OwnLoads() const {
+  std::map<std::string, Outstanding> loads;
+  for (const auto& [replica, outstanding] : this->own) {
+    if (outstanding.total() > 0) {
+      loads[replica] = outstanding;
+    }
+  }
+  return loads;
+}
+
+bool ReplicaLoads::IsPaused(const std::string& replica, TimePoint now) const {
+  const auto found = this->health.find(replica);
+  return found != this->health.end() && now < found->second.paused_until;
+}
+
+void ReplicaLoads::Forget(const std::string& replica) {
+  this->health.erase(replica);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Libraries/LibServing/replica_loads.h
@@ -0,0 +1,88 @@
+#ifndef LIBSERVING_REPLICA_LOADS_H_
+#define LIBSERVING_REPLICA_LOADS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+enum class WorkClass { kOnline, kBatch };
+
+/// Requests that were sent to a replica and have not ended.
+struct Outstanding {
+  std::uint32_t online = 0;
+  std::uint32_t batch = 0;
+
+  std::uint32_t total() const { return this->online + this->batch; }
+
+  bool operator==(const Outstanding&) const = default;
+};
+
+struct ReplicaLoadsOptions {
+  /// A peer's report counts for this long. Reports come several times a
+  /// second, so a peer without one has gone or is cut off.
+  Duration peer_report_life = std::chrono::milliseconds(1500);
+  /// First pause after a failed connection; it doubles with each further one.
+  Duration shortest_pause = std::chrono::milliseconds(400);
+  Duration longest_pause = std::chrono::milliseconds(4000);
+  /// Failed requests in succession after which a replica is paused.
+  std::uint32_t failures_before_pause = 3;
+};
+
+/// What this host and its peers have running at each replica, and which
+/// replicas fail. Not thread-safe.
+class ReplicaLoads {
+ public:
+  explicit ReplicaLoads(ReplicaLoadsOptions options = {}) : options(options) {}
+
+  void OnSent(const std::string& replica, WorkClass work);
+  void OnEnded(const std::string& replica, WorkClass work);
+
+  /// The connection could not be opened.
+  void OnUnreachable(const std::string& replica, TimePoint now);
+  void OnFailure(const std::string& replica, TimePoint now);
+  void OnSuccess(const std::string& replica);
+
+  /// Replaces what the peer said before.
+  void OnPeerReport(const std::string& peer,
+                    std::map<std::string, Outstanding> loads,
+                    TimePoint now);
+
+  /// Of this host and of its peers together.
+  Outstanding Total(const std::string& replica, TimePoint now) const;
+  Outstanding Own(const std::string& replica) const;
+  /// Own figures that are not zero.
+  std::map<std::string, Outstanding> OwnLoads() const;
+
+  /// True while the replica is left alone after failures.
+  bool IsPaused(const std::string& replica, TimePoint now) const;
+
+  void Forget(const std::string& replica);
+
+ private:
+  struct Health {
+    std::uint32_t failures = 0;
+    Duration pause{};
+    TimePoint paused_until{};
+  };
+  struct PeerReport {
+    std::map<std::string, Outstanding> loads;
+    TimePoint received{};
+  };
+
+  void Pause(Health& health, TimePoint now) const;
+
+  const ReplicaLoadsOptions options;
+  std::map<std::string, Outstanding> own;
+  std::map<std::string, Health> health;
+  std::map<std::string, PeerReport> peers;
+};
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_REPLICA_LOADS_H_
--- /dev/null
+++ b/Libraries/LibServing/routing_config.h
@@ -0,0 +1,112 @@
+#ifndef LIBSERVING_ROUTING_CONFIG_H_
+#define LIBSERVING_ROUTING_CONFIG_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// What may be repeated, and how the answer comes.
+enum class RequestKind { kIdempotent, kNonIdempotent, kStream, kBatch };
+
+std::string_view ToString(RequestKind kind);
+
+/// A share of a route's requests that goes to one endpoint.
+struct EndpointShare {
+  std::string endpoint;
+  std::uint32_t weight = 1;
+
+  bool operator==(const EndpointShare&) const = default;
+};
+
+/// One route of the operator's configuration.
+struct Route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  /// Longest time that a caller is kept waiting; 0 is no limit.
+  Duration timeout{};
+  /// Time to the answer, or to the first event, that the operator aims at.
+  Duration latency_target{};
+  /// Longest pause between two events of a stream that is on time.
+  Duration gap_target{};
+  /// 0 is the most urgent.
+  std::uint32_t priority = 0;
+  /// Replicas to which one request may be sent.
+  std::uint32_t max_attempts = 1;
+  /// True if a stream may go on at another replica after its last event.
+  bool is_resumable = false;
+  /// True if the requests generate tokens and share prompt parts.
+  bool is_generation = false;
+  std::vector<EndpointShare> shares;
+  /// From the submission of a batch job to when its results are due.
+  Duration completion_target{};
+  /// From the submission of a batch job to when items may be given up.
+  Duration retention{};
+  /// Tokens of unfinished batch items over all jobs of the route; 0 is no
+  /// limit.
+  std::uint64_t waiting_token_limit = 0;
+
+  /// True if a request may run more than once.
+  bool is_repeatable() const {
+    return this->kind == RequestKind::kIdempotent ||
+           this->kind == RequestKind::kBatch ||
+           (this->kind == RequestKind::kStream && this->is_resumable);
+  }
+
+  bool operator==(const Route&) const = default;
+};
+
+/// What the configuration says of an endpoint.
+struct EndpointConfig {
+  std::string name;
+  std::string health_path;
+  /// Connections that one replica accepts from all callers together.
+  std::uint32_t connection_limit = 0;
+  /// Requests that a replica's engine runs at once; 0 for a plain service.
+  std::uint32_t engine_slots = 0;
+  /// Tokens that fit the memory of a replica's engine; 0 for a plain service.
+  std::uint64_t engine_tokens = 0;
+
+  bool operator==(const EndpointConfig&) const = default;
+};
+
+/// What callers may send, and how long they may take.
+struct IngressLimits {
+  std::uint32_t header_bytes = 16 << 10;
+  std::uint64_t body_bytes = 4 << 20;
+  Duration header_time = std::chrono::seconds(3);
+  Duration idle_time = std::chrono::seconds(15);
+
+  bool operator==(const IngressLimits&) const = default;
+};
+
+/// One version of the operator's configuration.
+struct RoutingConfig {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<EndpointConfig> endpoints;
+  IngressLimits limits;
+
+  /// The route of that host with the longest prefix that begins the path.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+  const Route* FindRouteByName(std::string_view name) const;
+  const EndpointConfig* FindEndpoint(std::string_view name) const;
+
+  bool operator==(const RoutingConfig&) const = default;
+};
+
+/// Picks an endpoint of the route by weight; `point` is uniform in [0, 1).
+/// Empty if the route has none.
+std::string PickEndpoint(const Route& route, double point);
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_ROUTING_CONFIG_H_
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -206,4 +206,67 @@
   return settings;
 }
 
+Result<GatewaySettings> ParseGatewaySettings(const IniDocument& document) {
+  GatewaySettings settings;
+  SettingReader reader(document);
+  reader.Read("host", "name", {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.name);
+  reader.Read("host", "availability_zone",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.availability_zone);
+  reader.Read("host", "region",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.region);
+  reader.Read("host", "caller_address",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.caller_address);
+  reader.Read("host", "ready_address",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.ready_address);
+  reader.Read("host", "address",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.host.address);
+  reader.Read("host", "peer_port",
+              {.required = true, .minimum = 0, .maximum = 65535},
+              settings.host.peer_port);
+  reader.Read("host", "metrics_port",
+              {.required = false, .minimum = 0, .maximum = 65535},
+              settings.host.metrics_port);
+  reader.Read("host", "zone_regions",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.host.zone_regions);
+  reader.Read("store", "address",
+              {.required = true, .minimum = 0, .maximum = 9e15},
+              settings.store.address);
+  reader.Read("store", "partitions",
+              {.required = false, .minimum = 1, .maximum = 1024},
+              settings.store.partitions);
+  reader.Read("store", "record_bytes",
+              {.required = false, .minimum = 4096, .maximum = 67108864},
+              settings.store.record_bytes);
+  reader.Read("store", "call_bytes",
+              {.required = false, .minimum = 4096, .maximum = 1073741824},
+              settings.store.call_bytes);
+  reader.Read("store", "member_life",
+              {.required = false, .minimum = 100, .maximum = 600000},
+              settings.store.member_life);
+  reader.Read("limits", "connect_time",
+              {.required = false, .minimum = 1, .maximum = 60000},
+              settings.limits.connect_time);
+  reader.Read("limits", "shutdown_time",
+              {.required = false, .minimum = 100, .maximum = 3600000},
+              settings.limits.shutdown_time);
+  reader.Read("limits", "result_life",
+              {.required = false, .minimum = 1000, .maximum = 31536000000},
+              settings.limits.result_life);
+  reader.Read("limits", "log_lines",
+              {.required = false, .minimum = 1, .maximum = 1000000},
+              settings.limits.log_lines);
+  reader.Read("limits", "quota_window",
+              {.required = false, .minimum = 0, .maximum = 60000},
+              settings.limits.quota_window);
+  TRY(reader.Finish());
+  return settings;
+}
+
 }  // namespace crocus
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -244,6 +244,74 @@
 /// unknown key, the nearest known one.
 Result<DaemonSettings> ParseDaemonSettings(const IniDocument& document);
 
+/// Settings of crocus-gateway. docs/settings.md describes each key.
+struct GatewaySettings {
+  struct Host {
+    /// Name of the host in logs, and its member name in the platform's store.
+    std::string name{""};
+    /// Availability zone of this host.
+    std::string availability_zone{""};
+    /// Region of this host.
+    std::string region{""};
+    /// IP:port for callers.
+    std::string caller_address{""};
+    /// IP:port for the platform's readiness checks.
+    std::string ready_address{""};
+    /// IP address of this host, for its peers and for metrics.
+    std::string address{""};
+    /// UDP port for the load reports of the other gateways.
+    std::uint16_t peer_port{0};
+    /// TCP port that serves /metrics; 0 serves none.
+    std::uint16_t metrics_port{9464};
+    /// Each availability zone and its region as zone=region, separated by
+    /// commas.
+    std::vector<std::string> zone_regions{};
+
+    bool operator==(const Host&) const = default;
+  };
+
+  struct Store {
+    /// IP:port of the platform's metadata store.
+    std::string address{""};
+    /// Partitions of a topic; batch jobs are dealt to hosts by them.
+    std::uint32_t partitions{12};
+    /// Largest record of the store.
+    std::uint64_t record_bytes{262144};
+    /// Largest append of the store.
+    std::uint64_t call_bytes{2097152};
+    /// Silence after which the store deals a host's partitions to others.
+    std::chrono::milliseconds member_life{3000};
+
+    bool operator==(const Store&) const = default;
+  };
+
+  struct Limits {
+    /// Longest time for a connection to a replica to open.
+    std::chrono::milliseconds connect_time{400};
+    /// Time from SIGTERM to SIGKILL.
+    std::chrono::milliseconds shutdown_time{8000};
+    /// How long the results of a batch job stay readable after its submission.
+    std::chrono::milliseconds result_life{120000};
+    /// Log lines a second; further ones are counted and dropped.
+    std::uint32_t log_lines{200};
+    /// Age up to which this host's view of the batch jobs is taken to be
+    /// current.
+    std::chrono::milliseconds quota_window{1000};
+
+    bool operator==(const Limits&) const = default;
+  };
+
+  Host host;
+  Store store;
+  Limits limits;
+
+  bool operator==(const GatewaySettings&) const = default;
+};
+
+/// Checks every key of `document`. Errors name the file, the line and, for an
+/// unknown key, the nearest known one.
+Result<GatewaySettings> ParseGatewaySettings(const IniDocument& document);
+
 }  // namespace crocus
 
 #endif  // LIBSETTINGS_SETTINGS_H_
--- /dev/null
+++ b/Services/Gateway/batch_runner.cc
@@ -0,0 +1,300 @@
+#include "Gateway/batch_runner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "LibEvents/event_log.h"
+#include "platform/request_headers.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/// A run without bytes for this long is ended and goes on elsewhere. It is
+/// above the longest wait in an engine's queue.
+constexpr Duration kSilenceLimit = std::chrono::seconds(4);
+constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
+constexpr Duration kFailedPause = std::chrono::milliseconds(300);
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kUnprocessable = 422;
+constexpr std::uint32_t kServerError = 500;
+
+}  // namespace
+
+BatchRunner::BatchRunner(ForwardingContext& context,
+                         const BatchBoard& board,
+                         BatchWriter& writer,
+                         ConfigSource config)
+    : context(context),
+      board(board),
+      writer(writer),
+      config(std::move(config)),
+      timer(context.loop) {}
+
+void BatchRunner::Start() {
+  this->timer.expires_after(kTickInterval);
+  this->timer.async_wait([this](const auto& error) {
+    if (!error && !this->is_stopped) {
+      this->Tick();
+      this->Start();
+    }
+  });
+}
+
+void BatchRunner::Stop() {
+  this->is_stopped = true;
+  this->timer.cancel();
+  while (!this->runs.empty()) {
+    const ItemReference item = this->runs.begin()->first;
+    this->StopRun(item, "shutdown");
+  }
+}
+
+void BatchRunner::SetPartitions(std::set<std::uint32_t> partitions,
+                                std::uint32_t count) {
+  this->queue.SetPartitions(std::move(partitions), count);
+  this->ShedRuns();
+  this->StartItems();
+}
+
+void BatchRunner::Tick() {
+  const TimePoint now = BootTimeNow();
+  std::vector<ItemReference> silent;
+  for (const auto& [item, run] : this->runs) {
+    if (now - run.last_bytes > kSilenceLimit) {
+      silent.push_back(item);
+    }
+  }
+  for (const auto& item : silent) {
+    auto& progress = this->queue.Progress(item);
+    progress.avoided.insert(this->runs.at(item).attempt->replica());
+    this->StopRun(item, "no bytes");
+  }
+  this->queue.Prune(this->board);
+  this->GiveUpOverdueItems();
+  this->ShedRuns();
+  this->StartItems();
+}
+
+void BatchRunner::GiveUpOverdueItems() {
+  const auto current = this->config();
+  if (!current) {
+    return;
+  }
+  for (const auto& item :
+       this->queue.Overdue(this->board, *current, UnixMilliseconds())) {
+    this->StopRun(item, "given up");
+    this->FinishItem(item, false);
+  }
+}
+
+void BatchRunner::ShedRuns() {
+  const TimePoint now = BootTimeNow();
+  std::vector<std::pair<ItemReference, std::string>> stopped;
+  /// Runs to end by replica.
+  std::map<std::string, std::uint32_t> excess;
+  for (const auto& [replica, own] : this->context.loads.OwnLoads()) {
+    const ReplicaRecord* record = this->context.directory.Find(replica);
+    if (record == nullptr || own.batch == 0) {
+      continue;
+    }
+    const Outstanding total = this->context.loads.Total(replica, now);
+    if (total.total() > record->slots && total.batch > 0) {
+      // Each host ends its part of the batch runs, rounded up.
+      const std::uint32_t over =
+          std::min(total.total() - record->slots, total.batch);
+      excess[replica] = (over * own.batch + total.batch - 1) / total.batch;
+    }
+  }
+  for (const auto& [item, run] : this->runs) {
+    const BoardJob* job = this->board.Find(item.job);
+    if (job == nullptr || job->is_ended ||
+        job->items[item.item].state != ItemState::kOpen) {
+      stopped.emplace_back(item, "ended");
+    } else if (!this->queue.IsOwn(item.job)) {
+      stopped.emplace_back(item, "moved to another host");
+    } else if (auto found = excess.find(run.attempt->replica());
+               found != excess.end() && found->second > 0) {
+      --found->second;
+      stopped.emplace_back(item, "online needs the slot");
+    }
+  }
+  for (const auto& [item, reason] : stopped) {
+    this->StopRun(item, reason);
+  }
+}
+
+void BatchRunner::StartItems() {
+  const auto current = this->config();
+  if (!current || this->is_stopped || this->is_starting) {
+    return;
+  }
+  this->is_starting = true;
+  const TimePoint now = BootTimeNow();
+  while (const auto item = this->queue.Next(this->board, *current, now)) {
+    const BoardJob* job = this->board.Find(item->job);
+    const Route* route = RouteOfJob(*current, job->record);
+    const std::string endpoint = EndpointOfJob(*route, item->job);
+    auto& progress = this->queue.Progress(*item);
+    auto choice =
+        this->context.placement.ChooseBatch(endpoint, progress.avoided, now);
+    if (!choice && !progress.avoided.empty()) {
+      progress.avoided.clear();
+      choice = this->context.placement.ChooseBatch(endpoint, {}, now);
+    }
+    if (!choice) {
+      break;
+    }
+    this->StartItem(*item, *route, *choice);
+  }
+  this->is_starting = false;
+}
+
+void BatchRunner::StartItem(const ItemReference& item,
+                            const Route& route,
+                            const PlacementChoice& choice) {
+  const BoardJob* job = this->board.Find(item.job);
+  const BoardItem& spec = job->items[item.item];
+  auto& progress = this->queue.Progress(item);
+  ++progress.attempts;
+  const TimePoint now = BootTimeNow();
+  if (progress.attempts == 1) {
+    progress.first_started = now;
+  }
+  std::vector<HeaderField> fields;
+  for (const auto& field : spec.spec.fields) {
+    fields.push_back({.name = field.name, .value = field.value});
+  }
+  auto head = platform::ItemHead(route.host, spec.spec.path, spec.spec.id,
+                                 choice.replica, progress.last_event, fields);
+  const std::string address =
+      this->context.directory.Find(choice.replica)->address;
+  this->queue.SetRunning(item, true);
+  auto attempt = std::make_shared<ReplicaAttempt>(
+      this->context,
+      AttemptOptions{
+          .replica = choice.replica,
+          .address = address,
+          .attempt_id = spec.spec.id,
+          .work = WorkClass::kBatch,
+          .head = std::move(head),
+          .body = spec.body,
+          .on_head =
+              [this, item](const auto& response, const auto& answer) {
+                auto& run = this->runs.at(item);
+                run.status = response.status;
+                run.is_usable = response.status == kOk && answer.is_sealed;
+                run.last_bytes = BootTimeNow();
+              },
+          .on_body = [this, item](auto bytes) { this->OnBody(item, bytes); },
+          .on_end = [this, item](const auto& end) { this->OnEnd(item, end); }});
+  this->runs[item] = Run{.attempt = attempt, .last_bytes = now};
+  attempt->Start();
+}
+
+void BatchRunner::OnBody(const ItemReference& item, std::string_view bytes) {
+  Run& run = this->runs.at(item);
+  run.last_bytes = BootTimeNow();
+  if (!run.is_usable) {
+    return;
+  }
+  auto& progress = this->queue.Progress(item);
+  for (const auto& event : run.stream.Feed(bytes)) {
+    if (!event.id || !event.has_data ||
+        (progress.last_event && *event.id != *progress.last_event + 1)) {
+      run.is_in_order = false;
+    }
+    if (!run.is_in_order) {
+      return;
+    }
+    if (progress.events > 0) {
+      progress.text += '\n';
+    }
+    progress.text += event.data;
+    progress.last_event = event.id;
+    ++progress.events;
+  }
+}
+
+void BatchRunner::OnEnd(const ItemReference& item, const AttemptEnd& end) {
+  const Run run = std::move(this->runs.at(item));
+  this->runs.erase(item);
+  this->queue.SetRunning(item, false);
+  auto& progress = this->queue.Progress(item);
+  const TimePoint now = BootTimeNow();
+  const bool is_whole =
+      end.end == ExchangeEnd::kComplete && end.verdict == Verdict::kRan;
+  if (is_whole && run.is_usable && run.is_in_order &&
+      run.stream.rest().empty() && progress.events > 0) {
+    this->FinishItem(item, true);
+    this->StartItems();
+    return;
+  }
+  LogEvent(
+      Event::kReplicaAttemptFailed,
+      {{"request", this->board.Find(item.job)->items[item.item].spec.id},
+       {"replica", run.attempt->replica()},
+       {"end", std::to_string(static_cast<int>(end.end))},
+       {"reason", end.reason.empty() ? "status " + std::to_string(run.status)
+                                     : end.reason},
+       {"verdict", std::string(ToString(end.verdict))},
+       {"next", "resume"},
+       {"attempt_ms", MillisecondsText(now - run.attempt->started())}});
+  progress.not_before =
+      now + (end.verdict == Verdict::kNotRun ? kRefusedPause : kFailedPause);
+  progress.avoided.insert(run.attempt->replica());
+  if (is_whole && run.status == kUnprocessable) {
+    this->FinishItem(item, false);
+  } else if (is_whole && run.status == kServerError) {
+    ++progress.failures;
+    const auto current = this->config();
+    const Route* route =
+        RouteOfJob(*current, this->board.Find(item.job)->record);
+    if (route != nullptr && progress.failures >= route->max_attempts) {
+      this->FinishItem(item, false);
+    }
+  }
+  this->StartItems();
+}
+
+void BatchRunner::StopRun(const ItemReference& item,
+                          const std::string& reason) {
+  const auto found = this->runs.find(item);
+  if (found == this->runs.end()) {
+    return;
+  }
+  const auto attempt = found->second.attempt;
+  this->runs.erase(found);
+  this->queue.SetRunning(item, false);
+  const auto& progress = this->queue.Progress(item);
+  const BoardJob* job = this->board.Find(item.job);
+  LogEvent(Event::kBatchItemStopped,
+           {{"request", job == nullptr ? "" : job->items[item.item].spec.id},
+            {"job", item.job},
+            {"replica", attempt->replica()},
+            {"reason", reason},
+            {"events", std::to_string(progress.events)}});
+  attempt->Cancel();
+}
+
+void BatchRunner::FinishItem(const ItemReference& item, bool is_completed) {
+  const auto& progress = this->queue.Progress(item);
+  LogEvent(
+      Event::kBatchItemEnded,
+      {{"request", this->board.Find(item.job)->items[item.item].spec.id},
+       {"job", item.job},
+       {"outcome", is_completed ? "completed" : "abandoned"},
+       {"attempts", std::to_string(progress.attempts)},
+       {"failures", std::to_string(progress.failures)},
+       {"total_ms", MillisecondsText(BootTimeNow() - progress.first_started)}});
+  this->writer.AppendFinished({.job = item.job,
+                               .item = item.item,
+                               .completed = is_completed,
+                               .text = is_completed ? progress.text : ""});
+  this->queue.SetFinished(item);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/batch_runner.h
@@ -0,0 +1,85 @@
+#ifndef GATEWAY_BATCH_RUNNER_H_
+#define GATEWAY_BATCH_RUNNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Gateway/batch_writer.h"
+#include "Gateway/forwarding_context.h"
+#include "Gateway/replica_attempt.h"
+#include "LibServing/batch_board.h"
+#include "LibServing/batch_queue.h"
+#include "LibServing/event_stream.h"
+#include "LibServing/routing_config.h"
+
+namespace crocus {
+
+using ConfigSource = std::function<std::shared_ptr<const RoutingConfig>()>;
+
+/// Runs the open items of the jobs that the store has dealt to this host, in
+/// the slots that online requests leave free.
+class BatchRunner {
+ public:
+  BatchRunner(ForwardingContext& context,
+              const BatchBoard& board,
+              BatchWriter& writer,
+              ConfigSource config);
+
+  void Start();
+  /// Ends all runs; what they brought is lost.
+  void Stop();
+
+  void SetPartitions(std::set<std::uint32_t> partitions, std::uint32_t count);
+
+  /// Starts items as long as there is room. Called when jobs or loads change.
+  void StartItems();
+
+  /// Ends runs where online requests need the slots, and those of jobs that
+  /// have ended or belong to another host now.
+  void ShedRuns();
+
+  /// True if the job is dealt to this host.
+  bool IsOwn(const std::string& job) const { return this->queue.IsOwn(job); }
+
+  std::size_t running() const { return this->runs.size(); }
+
+ private:
+  struct Run {
+    std::shared_ptr<ReplicaAttempt> attempt;
+    EventStream stream;
+    std::uint32_t status = 0;
+    bool is_usable = false;
+    /// False once an event's number did not follow the one before.
+    bool is_in_order = true;
+    TimePoint last_bytes{};
+  };
+
+  void Tick();
+  void StartItem(const ItemReference& item,
+                 const Route& route,
+                 const PlacementChoice& choice);
+  void OnBody(const ItemReference& item, std::string_view bytes);
+  void OnEnd(const ItemReference& item, const AttemptEnd& end);
+  /// Ends a run whose item goes on later.
+  void StopRun(const ItemReference& item, const std::string& reason);
+  void FinishItem(const ItemReference& item, bool is_completed);
+  void GiveUpOverdueItems();
+
+  ForwardingContext& context;
+  const BatchBoard& board;
+  BatchWriter& writer;
+  const ConfigSource config;
+  BatchQueue queue;
+  boost::asio::steady_timer timer;
+  std::map<ItemReference, Run> runs;
+  bool is_stopped = false;
+  bool is_starting = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_BATCH_RUNNER_H_
--- /dev/null
+++ b/Services/Gateway/batch_writer.cc
@@ -0,0 +1,184 @@
+#include "Gateway/batch_writer.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "LibEvents/event_log.h"
+#include "LibMessages/codec.h"
+#include "LibServing/batch_board.h"
+
+namespace crocus {
+
+namespace {
+
+/// Finished items wait this long for others to share an append.
+constexpr Duration kFlushDelay = std::chrono::milliseconds(100);
+constexpr Duration kRetryPause = std::chrono::milliseconds(300);
+/// Room for the key and the lengths of a record.
+constexpr std::uint64_t kRecordOverhead = 300;
+
+}  // namespace
+
+BatchWriter::BatchWriter(boost::asio::io_context& loop,
+                         platform::StoreClient& store,
+                         BatchWriterOptions options)
+    : store(store), options(std::move(options)), timer(loop) {}
+
+std::string BatchWriter::NextTag() {
+  return this->options.writer + "-" + std::to_string(this->next_tag++);
+}
+
+void BatchWriter::AppendJob(records::BatchJobAccepted job,
+                            std::vector<platform::SubmittedItem> items,
+                            std::function<void(Result<void>)> on_done) {
+  job.tag = this->NextTag();
+  const std::uint64_t part_bytes = this->options.record_bytes - kRecordOverhead;
+  auto calls = std::make_shared<std::deque<std::vector<KeyedWrite>>>(1);
+  std::uint64_t bytes = 0;
+  const auto add = [&](KeyedWrite write) {
+    const std::uint64_t size = write.value->size() + kRecordOverhead;
+    if (bytes + size > this->options.call_bytes) {
+      calls->emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    calls->back().push_back(std::move(write));
+  };
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    std::string_view body = items[i].body;
+    std::uint32_t parts = 0;
+    while (!body.empty()) {
+      const std::string_view part = body.substr(0, part_bytes);
+      add({.key = BodyKey(job.job, job.tag, i, parts++),
+           .value = std::string(part)});
+      body.remove_prefix(part.size());
+    }
+    items[i].spec.body_parts = parts;
+    job.items.push_back(std::move(items[i].spec));
+  }
+  // The job counts from its own record on, so that comes last.
+  add({.key = JobKey(job.job, job.tag), .value = Encode(job)});
+  this->AppendCalls(std::move(calls), std::move(on_done));
+}
+
+void BatchWriter::AppendCalls(
+    std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
+    std::function<void(Result<void>)> on_done) {
+  const auto records = std::move(calls->front());
+  calls->pop_front();
+  const bool is_last = calls->empty();
+  this->store.Append(
+      this->options.topic, records,
+      [this, calls = std::move(calls), is_last,
+       on_done = std::move(on_done)](auto reply) {
+        if (!reply) {
+          Error error = reply.error();
+          // Only the last append makes the job count.
+          if (!is_last) {
+            error.verdict = Verdict::kNotRun;
+          }
+          LogEvent(Event::kBatchAppendFailed,
+                   {{"records", "job"},
+                    {"reason", error.message},
+                    {"verdict", std::string(ToString(error.verdict))}});
+          on_done(tl::unexpected(error));
+          return;
+        }
+        if (is_last) {
+          on_done({});
+          return;
+        }
+        this->AppendCalls(calls, on_done);
+      });
+}
+
+void BatchWriter::AppendEnd(const std::string& job,
+                            std::function<void(Result<void>)> on_done) {
+  const records::BatchJobEnded ended{.job = job};
+  this->store.Append(
+      this->options.topic,
+      {{.key = EndedKey(job, this->NextTag()), .value = Encode(ended)}},
+      [on_done = std::move(on_done)](auto reply) {
+        if (reply) {
+          on_done({});
+        } else {
+          on_done(tl::unexpected(reply.error()));
+        }
+      });
+}
+
+void BatchWriter::AppendFinished(records::BatchItemFinished item) {
+  this->finished.push_back(std::move(item));
+  this->ScheduleFlush(kFlushDelay);
+}
+
+void BatchWriter::ScheduleFlush(Duration pause) {
+  if (this->is_flush_scheduled || this->is_flushing) {
+    return;
+  }
+  this->is_flush_scheduled = true;
+  this->timer.expires_after(pause);
+  this->timer.async_wait([this](const auto& error) {
+    this->is_flush_scheduled = false;
+    if (!error) {
+      this->Flush();
+    }
+  });
+}
+
+void BatchWriter::Flush() {
+  if (this->finished.empty()) {
+    return;
+  }
+  std::vector<KeyedWrite> writes;
+  std::uint64_t bytes = 0;
+  for (const auto& item : this->finished) {
+    std::string value = Encode(item);
+    bytes += value.size() + kRecordOverhead;
+    if (!writes.empty() && bytes > this->options.call_bytes) {
+      break;
+    }
+    writes.push_back({.key = FinishedKey(item.job, item.item, this->NextTag()),
+                      .value = std::move(value)});
+  }
+  this->is_flushing = true;
+  const std::size_t count = writes.size();
+  this->store.Append(this->options.topic, writes, [this, count](auto reply) {
+    this->is_flushing = false;
+    if (!reply) {
+      // A copy that was appended although its reply is lost does no harm:
+      // the first record of an item counts, and each has its own key.
+      LogEvent(Event::kBatchAppendFailed,
+               {{"records", std::to_string(count)},
+                {"reason", reply.error().message},
+                {"verdict", std::string(ToString(reply.error().verdict))}});
+      this->ScheduleFlush(kRetryPause);
+      return;
+    }
+    this->finished.erase(
+        this->finished.begin(),
+        this->finished.begin() + static_cast<std::ptrdiff_t>(count));
+    if (!this->finished.empty()) {
+      this->ScheduleFlush(kFlushDelay);
+    }
+  });
+}
+
+void BatchWriter::DropKeys(const std::vector<std::string>& keys) {
+  std::vector<KeyedWrite> writes;
+  for (const auto& key : keys) {
+    writes.push_back({.key = key, .value = std::nullopt});
+  }
+  this->store.Append(
+      this->options.topic, writes, [count = keys.size()](auto reply) {
+        if (!reply) {
+          LogEvent(Event::kBatchAppendFailed,
+                   {{"records", std::to_string(count)},
+                    {"reason", reply.error().message},
+                    {"verdict", std::string(ToString(reply.error().verdict))}});
+        }
+      });
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/batch_writer.h
@@ -0,0 +1,70 @@
+#ifndef GATEWAY_BATCH_WRITER_H_
+#define GATEWAY_BATCH_WRITER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/result.h"
+#include "LibMessages/records.h"
+#include "platform/batch_wire.h"
+#include "platform/store_client.h"
+
+namespace crocus {
+
+struct BatchWriterOptions {
+  std::string topic;
+  std::uint64_t record_bytes = 262144;
+  std::uint64_t call_bytes = 2097152;
+  /// Unique for each start of a process; begins the tags of its records.
+  std::string writer;
+};
+
+/// Appends the records of batch jobs to the store.
+class BatchWriter {
+ public:
+  BatchWriter(boost::asio::io_context& loop,
+              platform::StoreClient& store,
+              BatchWriterOptions options);
+
+  /// Appends a job with its bodies. An error with the verdict not run means
+  /// that the job is not and will not be in the store.
+  void AppendJob(records::BatchJobAccepted job,
+                 std::vector<platform::SubmittedItem> items,
+                 std::function<void(Result<void>)> on_done);
+
+  void AppendEnd(const std::string& job,
+                 std::function<void(Result<void>)> on_done);
+
+  /// Appends an item's final state, together with others, until it succeeds.
+  void AppendFinished(records::BatchItemFinished finished);
+
+  /// Drops keys, as far as the store answers.
+  void DropKeys(const std::vector<std::string>& keys);
+
+  std::size_t unwritten() const { return this->finished.size(); }
+
+ private:
+  std::string NextTag();
+  void AppendCalls(std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
+                   std::function<void(Result<void>)> on_done);
+  void Flush();
+  void ScheduleFlush(Duration pause);
+
+  platform::StoreClient& store;
+  const BatchWriterOptions options;
+  boost::asio::steady_timer timer;
+  std::uint64_t next_tag = 1;
+  std::deque<records::BatchItemFinished> finished;
+  bool is_flushing = false;
+  bool is_flush_scheduled = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_BATCH_WRITER_H_
--- /dev/null
+++ b/Services/Gateway/forwarded_request.cc
@@ -0,0 +1,333 @@
+#include "Gateway/forwarded_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibAsyncHttp/http_text.h"
+#include "LibEvents/event_log.h"
+#include "platform/request_headers.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::uint32_t kServerError = 500;
+constexpr std::uint32_t kBadGateway = 502;
+constexpr std::uint32_t kUnavailable = 503;
+constexpr std::uint32_t kGatewayTimeout = 504;
+
+/// Wait of a caller that names none.
+constexpr Duration kDefaultPatience = std::chrono::seconds(30);
+/// When to come back if no replica of the endpoint is known: about the time in
+/// which the registry shows a replica that has just started.
+constexpr Duration kNoReplicaRetryAfter = std::chrono::milliseconds(500);
+
+bool IsSuccess(std::uint32_t status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(ForwardingContext& context,
+                                   ForwardedRequestOptions options)
+    : context(context),
+      options(std::move(options)),
+      facts(platform::DecodeRequest(this->options.request.head.fields)),
+      arrival(this->options.session->request_started()),
+      timer(context.loop),
+      last_event(this->facts.last_event) {
+  Duration wait = this->facts.patience.value_or(kDefaultPatience);
+  if (this->options.route->timeout > Duration::zero()) {
+    wait = std::min(wait, this->options.route->timeout);
+  }
+  this->deadline = this->arrival + wait;
+}
+
+bool ForwardedRequest::is_stream() const {
+  return this->options.route->kind == RequestKind::kStream;
+}
+
+AttemptHistory ForwardedRequest::history() const {
+  return {.kind = this->options.route->kind,
+          .is_repeatable = this->options.route->is_repeatable(),
+          .max_attempts = this->options.route->max_attempts,
+          .runs = this->runs,
+          .refusals = this->refusals,
+          .has_response_begun = this->has_response_begun};
+}
+
+void ForwardedRequest::Start() {
+  const auto self = this->shared_from_this();
+  this->options.session->set_caller_left([self] { self->OnCallerLeft(); });
+  this->timer.expires_after(this->deadline - BootTimeNow());
+  this->timer.async_wait([self](const auto& error) {
+    if (!error && !self->is_finished) {
+      self->OnDeadline();
+    }
+  });
+  this->TryReplica();
+}
+
+void ForwardedRequest::TryReplica() {
+  const TimePoint now = BootTimeNow();
+  const auto chosen = this->context.placement.ChooseOnline(
+      this->options.endpoint, this->tried, now);
+  if (!chosen) {
+    if (this->has_response_begun) {
+      this->Fail(kBadGateway, "no replica to go on at");
+    } else if (this->runs > 0) {
+      this->Fail(kBadGateway, "no other replica");
+    } else {
+      this->Refuse("no replica", kNoReplicaRetryAfter);
+    }
+    return;
+  }
+  this->choice = chosen;
+  if (this->runs == 0 && !this->has_response_begun) {
+    const auto admission = Admit(*chosen, this->options.route->latency_target);
+    if (!admission.is_admitted) {
+      this->Refuse("queue too long", admission.retry_after);
+      return;
+    }
+  }
+  this->Send(*chosen);
+}
+
+void ForwardedRequest::Send(const PlacementChoice& chosen) {
+  const ReplicaRecord* replica = this->context.directory.Find(chosen.replica);
+  this->tried.insert(chosen.replica);
+  this->head = {};
+  this->buffered_body.clear();
+  this->events = {};
+  this->is_usable = false;
+  const auto self = this->shared_from_this();
+  this->attempt = std::make_shared<ReplicaAttempt>(
+      this->context,
+      AttemptOptions{
+          .replica = chosen.replica,
+          .address = replica->address,
+          .attempt_id = this->facts.attempt_id,
+          .work = WorkClass::kOnline,
+          .head = platform::ForwardedHead(
+              this->options.request.head,
+              {.replica_id = chosen.replica,
+               .time_left = this->deadline - BootTimeNow(),
+               .resume_after =
+                   this->has_response_begun ? this->last_event : std::nullopt}),
+          .body = this->options.request.body,
+          .on_head = [self](const auto& head,
+                            const auto& answer) { self->OnHead(head, answer); },
+          .on_body = [self](auto bytes) { self->OnBody(bytes); },
+          .on_end = [self](const auto& end) { self->OnEnd(end); }});
+  this->attempt->Start();
+}
+
+void ForwardedRequest::OnHead(const ResponseHead& response,
+                              const ReplicaAnswer& answer) {
+  this->head = response;
+  if (!IsSuccess(response.status)) {
+    return;
+  }
+  // A success that the replica does not vouch for is not its answer.
+  this->is_usable = answer.is_sealed;
+  if (!this->is_stream() || !this->is_usable) {
+    return;
+  }
+  if (!this->first_time) {
+    this->first_time = BootTimeNow() - this->arrival;
+  }
+  if (!this->has_response_begun) {
+    this->has_response_begun = true;
+    this->options.session->StartResponse(response.status, response.reason,
+                                         response.fields.EndToEnd(),
+                                         std::nullopt);
+  }
+}
+
+void ForwardedRequest::OnBody(std::string_view bytes) {
+  if (this->is_usable && this->is_stream()) {
+    this->PassEvents(bytes);
+  } else {
+    this->buffered_body += bytes;
+  }
+}
+
+void ForwardedRequest::PassEvents(std::string_view bytes) {
+  for (const auto& event : this->events.Feed(bytes)) {
+    if (event.id && this->last_event && *event.id <= *this->last_event) {
+      continue;
+    }
+    if (event.id) {
+      this->last_event = event.id;
+    }
+    this->options.session->SendBody(event.bytes);
+  }
+}
+
+void ForwardedRequest::OnEnd(const AttemptEnd& end) {
+  if (end.verdict == Verdict::kNotRun) {
+    ++this->refusals;
+  } else {
+    ++this->runs;
+  }
+  const bool is_whole =
+      end.end == ExchangeEnd::kComplete && end.verdict != Verdict::kNotRun;
+  if (is_whole && (this->is_usable || !IsSuccess(this->head.status))) {
+    const auto route = this->options.route;
+    const bool may_try_again = this->head.status >= kServerError &&
+                               route->is_repeatable() &&
+                               this->runs < route->max_attempts;
+    if (!may_try_again) {
+      this->OnWhole();
+      return;
+    }
+  }
+  this->Continue(end);
+}
+
+void ForwardedRequest::OnWhole() {
+  if (this->is_usable && this->is_stream()) {
+    this->options.session->SendBody(this->events.rest());
+    this->options.session->FinishResponse();
+  } else if (this->has_response_begun) {
+    this->Fail(kBadGateway, "replica answered " +
+                                std::to_string(this->head.status) +
+                                " to a resumed stream");
+    return;
+  } else {
+    if (!this->first_time) {
+      this->first_time = BootTimeNow() - this->arrival;
+    }
+    this->options.session->StartResponse(this->head.status, this->head.reason,
+                                         this->head.fields.EndToEnd(),
+                                         this->buffered_body.size());
+    this->options.session->SendBody(this->buffered_body);
+    this->options.session->FinishResponse();
+  }
+  if (IsSuccess(this->head.status)) {
+    this->context.placement.OnServed(this->options.endpoint,
+                                     BootTimeNow() - this->attempt->started());
+  }
+  this->Finish("answered", this->head.status, Verdict::kRan);
+}
+
+void ForwardedRequest::Continue(const AttemptEnd& end) {
+  const NextStep step = NextStepAfter(this->history(), end.verdict);
+  LogEvent(Event::kReplicaAttemptFailed,
+           {{"request", this->facts.attempt_id},
+            {"replica", this->attempt->replica()},
+            {"end", std::to_string(static_cast<int>(end.end))},
+            {"reason", end.reason.empty()
+                           ? "status " + std::to_string(this->head.status)
+                           : end.reason},
+            {"verdict", std::string(ToString(end.verdict))},
+            {"next", std::string(ToString(step))},
+            {"attempt_ms",
+             MillisecondsText(BootTimeNow() - this->attempt->started())}});
+  switch (step) {
+    case NextStep::kRetry:
+    case NextStep::kResume:
+      this->TryReplica();
+      return;
+    case NextStep::kRefuse:
+      this->Refuse("replicas full", this->context.placement.MeanServiceTime(
+                                        this->options.endpoint));
+      return;
+    case NextStep::kFail:
+    case NextStep::kBreak:
+      this->Fail(kBadGateway, end.reason);
+      return;
+  }
+}
+
+void ForwardedRequest::OnDeadline() {
+  if (this->attempt) {
+    this->attempt->Cancel();
+  }
+  if (this->attempt || this->runs > 0) {
+    this->Fail(kGatewayTimeout, "deadline");
+  } else {
+    this->Refuse("deadline", kNoReplicaRetryAfter);
+  }
+}
+
+void ForwardedRequest::OnCallerLeft() {
+  if (this->is_finished) {
+    return;
+  }
+  if (this->attempt) {
+    this->attempt->Cancel();
+  }
+  LogEvent(Event::kOnlineCallerLeft,
+           {{"request", this->facts.attempt_id},
+            {"route", this->options.route->name},
+            {"replica", this->choice ? this->choice->replica : ""},
+            {"total_ms", MillisecondsText(BootTimeNow() - this->arrival)}});
+  this->Finish("caller_left", 0, Verdict::kMayHaveRun);
+}
+
+void ForwardedRequest::Refuse(const std::string& reason, Duration retry_after) {
+  LogEvent(
+      Event::kOnlineRequestRefused,
+      {{"request", this->facts.attempt_id},
+       {"route", this->options.route->name},
+       {"reason", reason},
+       {"replica", this->choice ? this->choice->replica : ""},
+       {"load", this->choice ? LoadText(*this->choice) : ""},
+       {"expected_wait_ms",
+        this->choice ? MillisecondsText(this->choice->expected_wait) : ""},
+       {"retry_after_ms", MillisecondsText(retry_after)},
+       {"config", std::to_string(this->options.config->version)},
+       {"registry_age_ms", MillisecondsText(this->context.registry_age())}});
+  this->options.session->Respond(kUnavailable,
+                                 platform::RefusalFields(retry_after), "");
+  this->Finish("refused", kUnavailable, Verdict::kNotRun);
+}
+
+void ForwardedRequest::Fail(std::uint32_t status, const std::string& reason) {
+  if (this->has_response_begun) {
+    // Without the end of its body the response cannot look whole.
+    this->options.session->Abort();
+    this->Finish("broken: " + reason, this->head.status, Verdict::kRan);
+    return;
+  }
+  this->options.session->Respond(status, {}, "");
+  this->Finish("failed: " + reason, status, Verdict::kMayHaveRun);
+}
+
+void ForwardedRequest::Finish(const std::string& outcome,
+                              std::uint32_t status,
+                              Verdict verdict) {
+  this->is_finished = true;
+  this->timer.cancel();
+  this->attempt.reset();
+  const Duration total = BootTimeNow() - this->arrival;
+  const std::string& route = this->options.route->name;
+  const std::string kind(ToString(this->options.route->kind));
+  if (this->first_time) {
+    this->context.metrics.Observe(RequestMeasure::kFirstToken, route, kind,
+                                  ToSeconds(*this->first_time));
+  }
+  this->context.metrics.Observe(RequestMeasure::kTotal, route, kind,
+                                ToSeconds(total));
+  this->context.metrics.Count(
+      verdict, outcome == "answered" ? std::string()
+                                     : outcome.substr(0, outcome.find(':')));
+  LogEvent(Event::kOnlineRequestEnded,
+           {{"request", this->facts.attempt_id},
+            {"route", route},
+            {"outcome", outcome},
+            {"status", std::to_string(status)},
+            {"verdict", std::string(ToString(verdict))},
+            {"replica", this->choice ? this->choice->replica : ""},
+            {"attempts", std::to_string(this->runs + this->refusals)},
+            {"load", this->choice ? LoadText(*this->choice) : ""},
+            {"expected_wait_ms",
+             this->choice ? MillisecondsText(this->choice->expected_wait) : ""},
+            {"first_ms",
+             this->first_time ? MillisecondsText(*this->first_time) : ""},
+            {"total_ms", MillisecondsText(total)},
+            {"config", std::to_string(this->options.config->version)}});
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/forwarded_request.h
@@ -0,0 +1,84 @@
+#ifndef GATEWAY_FORWARDED_REQUEST_H_
+#define GATEWAY_FORWARDED_REQUEST_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "Gateway/forwarding_context.h"
+#include "Gateway/replica_attempt.h"
+#include "LibAsyncHttp/server_session.h"
+#include "LibServing/attempt_policy.h"
+#include "LibServing/event_stream.h"
+#include "LibServing/routing_config.h"
+
+namespace crocus {
+
+struct ForwardedRequestOptions {
+  std::shared_ptr<ServerSession> session;
+  Request request;
+  /// Keeps `route` alive while the configuration changes.
+  std::shared_ptr<const RoutingConfig> config;
+  const Route* route = nullptr;
+  /// Chosen by the route's weights.
+  std::string endpoint;
+};
+
+/// One online request from its arrival to its final answer.
+class ForwardedRequest : public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  ForwardedRequest(ForwardingContext& context, ForwardedRequestOptions options);
+
+  void Start();
+
+ private:
+  void TryReplica();
+  void Send(const PlacementChoice& choice);
+  void OnHead(const ResponseHead& head, const ReplicaAnswer& answer);
+  void OnBody(std::string_view bytes);
+  void OnEnd(const AttemptEnd& end);
+  void OnWhole();
+  void Continue(const AttemptEnd& end);
+  /// Passes on the events that the caller does not have yet.
+  void PassEvents(std::string_view bytes);
+  void OnDeadline();
+  void OnCallerLeft();
+
+  void Refuse(const std::string& reason, Duration retry_after);
+  void Fail(std::uint32_t status, const std::string& reason);
+  void Finish(const std::string& outcome,
+              std::uint32_t status,
+              Verdict verdict);
+
+  bool is_stream() const;
+  AttemptHistory history() const;
+
+  ForwardingContext& context;
+  ForwardedRequestOptions options;
+  const RequestFacts facts;
+  const TimePoint arrival;
+  TimePoint deadline{};
+  boost::asio::steady_timer timer;
+  std::shared_ptr<ReplicaAttempt> attempt;
+  std::optional<PlacementChoice> choice;
+  std::set<std::string> tried;
+  std::uint32_t runs = 0;
+  std::uint32_t refusals = 0;
+  /// Of the current attempt.
+  ResponseHead head;
+  std::string buffered_body;
+  bool is_usable = false;
+  EventStream events;
+  /// Last event that was passed on.
+  std::optional<std::uint64_t> last_event;
+  bool has_response_begun = false;
+  bool is_finished = false;
+  std::optional<Duration> first_time;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/Services/Gateway/gateway.cc
@@ -0,0 +1,382 @@
+#include "Gateway/gateway.h"
+
+#include <utility>
+#include <vector>
+
+#include "Gateway/forwarded_request.h"
+#include "LibCore/text.h"
+#include "LibEvents/event_log.h"
+#include "LibNetwork/peer_address.h"
+#include "platform/batch_wire.h"
+#include "platform/config_decoder.h"
+#include "platform/names.h"
+#include "platform/replica_decoder.h"
+#include "platform/request_headers.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kBadRequest = 400;
+constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kUnavailable = 503;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+/// When to come back while no configuration is known: reading it takes a few
+/// round trips to the store.
+constexpr Duration kNoConfigRetryAfter = std::chrono::milliseconds(500);
+/// Registry entries may be this old; a replica that drains must get no requests
+/// after `drain_ms`, which is 2500 ms and more.
+constexpr Duration kServerPace = std::chrono::milliseconds(300);
+/// The platform takes a host out of rotation after two failed checks, one a
+/// second.
+constexpr Duration kRotationTime = std::chrono::milliseconds(2300);
+/// Before SIGKILL, to log and to close.
+constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
+
+Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text) {
+  TRY_ASSIGN(const auto address, ParsePeerAddress(text));
+  return boost::asio::ip::tcp::endpoint(address.address, address.port);
+}
+
+/// The host name without a port.
+std::string_view HostOf(const RequestHead& head) {
+  const std::string_view host = head.fields.Find("host").value_or("");
+  return host.substr(0, host.find(':'));
+}
+
+SessionLimits InternalLimits() {
+  return {};
+}
+
+}  // namespace
+
+PlacementOptions Gateway::MakePlacementOptions(
+    const GatewaySettings& settings) {
+  PlacementOptions options{.availability_zone = settings.host.availability_zone,
+                           .region = settings.host.region};
+  for (const auto& pair : settings.host.zone_regions) {
+    const auto equals = pair.find('=');
+    if (equals != std::string::npos) {
+      options.regions[Trim(pair.substr(0, equals))] =
+          Trim(pair.substr(equals + 1));
+    }
+  }
+  return options;
+}
+
+Gateway::Gateway(boost::asio::io_context& loop, GatewaySettings settings)
+    : loop(loop),
+      settings(std::move(settings)),
+      store(loop,
+            {.address = ParseEndpoint(this->settings.store.address)
+                            .value_or(boost::asio::ip::tcp::endpoint())}),
+      pool(loop),
+      placement(MakePlacementOptions(this->settings),
+                this->directory,
+                this->loads,
+                SystemRandom()),
+      random(SystemRandom()),
+      context{.loop = loop,
+              .pool = this->pool,
+              .directory = this->directory,
+              .loads = this->loads,
+              .placement = this->placement,
+              .metrics = this->metrics,
+              .connect_time = this->settings.limits.connect_time,
+              .on_load_change = [this] { this->peers.OnLoadChange(); },
+              .registry_age =
+                  [this] {
+                    return BootTimeNow() -
+                           this->server_follower->current_as_of();
+                  }},
+      peers(loop, this->loads),
+      callers(
+          loop,
+          [this] { return this->CallerLimits(); },
+          [this](const auto& session, auto request) {
+            this->HandleRequest(session, std::move(request));
+          }),
+      readiness(loop,
+                InternalLimits,
+                [this](const auto& session, const auto& request) {
+                  this->HandleReady(session, request);
+                }),
+      metrics_listener(loop,
+                       InternalLimits,
+                       [this](const auto& session, const auto&) {
+                         this->HandleMetrics(session);
+                       }),
+      tick_timer(loop) {}
+
+Result<void> Gateway::Start() {
+  TRY(ParseEndpoint(this->settings.store.address));
+  TRY_ASSIGN(const auto caller_address,
+             ParseEndpoint(this->settings.host.caller_address));
+  TRY_ASSIGN(const auto ready_address,
+             ParseEndpoint(this->settings.host.ready_address));
+  TRY(this->callers.Listen(caller_address));
+  TRY(this->readiness.Listen(ready_address));
+  if (this->settings.host.metrics_port != 0) {
+    TRY(this->metrics_listener.Listen(
+        {caller_address.address(), this->settings.host.metrics_port}));
+  }
+  TRY(this->peers.Open(this->settings.host.address,
+                       this->settings.host.peer_port));
+  this->config_follower = std::make_unique<KeyedFollower>(
+      this->loop, this->store,
+      KeyedFollowerOptions{.topic = std::string(platform::topic::kOperator),
+                           .pace = Duration::zero(),
+                           .on_snapshot =
+                               [this](const auto& records) {
+                                 for (const auto& record : records) {
+                                   this->OnConfigRecord(record, "snapshot");
+                                 }
+                               },
+                           .on_record =
+                               [this](const auto& record) {
+                                 this->OnConfigRecord(record, "log");
+                               },
+                           .on_lost = [] {},
+                           .on_regained = [] {}});
+  this->server_follower = std::make_unique<KeyedFollower>(
+      this->loop, this->store,
+      KeyedFollowerOptions{
+          .topic = std::string(platform::topic::kServers),
+          .pace = kServerPace,
+          .on_snapshot =
+              [this](const auto& records) {
+                std::vector<std::string> present;
+                for (const auto& record : records) {
+                  present.push_back(record.key);
+                  this->OnServerRecord(record);
+                }
+                this->directory.RetainOnly(present, BootTimeNow());
+              },
+          .on_record =
+              [this](const auto& record) { this->OnServerRecord(record); },
+          .on_lost = [this] { this->directory.OnRegistryLost(BootTimeNow()); },
+          .on_regained =
+              [this] { this->directory.OnRegistryRegained(BootTimeNow()); }});
+  this->batch = std::make_unique<BatchService>(
+      this->context, this->store, [this] { return this->config; },
+      BatchServiceOptions{
+          .host_name = this->settings.host.name,
+          .partitions = this->settings.store.partitions,
+          .record_bytes = this->settings.store.record_bytes,
+          .call_bytes = this->settings.store.call_bytes,
+          .member_life = this->settings.store.member_life,
+          .result_life = this->settings.limits.result_life,
+          .current_window = this->settings.limits.quota_window,
+          .peer_address = this->peers.own_address(),
+          .on_peer = [this](const auto& peer) { this->peers.AddPeer(peer); }});
+  this->peers.set_on_report([this] { this->batch->runner().ShedRuns(); });
+  this->config_follower->Start();
+  this->server_follower->Start();
+  this->batch->Start();
+  this->Tick();
+  return {};
+}
+
+void Gateway::OnConfigRecord(const KeyedRecord& record,
+                             const std::string& source) {
+  if (record.key != platform::topic::kConfigKey || !record.value) {
+    return;
+  }
+  auto decoded = platform::DecodeConfig(*record.value);
+  if (!decoded) {
+    LogEvent(Event::kConfigurationRejected,
+             {{"offset", std::to_string(record.offset)},
+              {"reason", decoded.error().message}});
+    return;
+  }
+  const std::uint64_t previous = this->config ? this->config->version : 0;
+  if (this->config && decoded->version <= previous) {
+    return;
+  }
+  this->config = std::make_shared<const RoutingConfig>(std::move(*decoded));
+  LogEvent(Event::kConfigurationInForce,
+           {{"version", std::to_string(this->config->version)},
+            {"previous", std::to_string(previous)},
+            {"routes", std::to_string(this->config->routes.size())},
+            {"endpoints", std::to_string(this->config->endpoints.size())},
+            {"source", source}});
+  this->NoteReadiness();
+}
+
+void Gateway::OnServerRecord(const KeyedRecord& record) {
+  const TimePoint now = BootTimeNow();
+  if (!record.value) {
+    if (const auto* known = this->directory.Find(record.key)) {
+      LogEvent(Event::kReplicaChanged, {{"replica", record.key},
+                                        {"endpoint", known->endpoint},
+                                        {"address", known->address},
+                                        {"state", "gone"},
+                                        {"reason", "registry"}});
+    }
+    this->directory.Remove(record.key, now);
+    this->pool.Drop(record.key);
+    return;
+  }
+  auto decoded = platform::DecodeReplica(record.key, *record.value);
+  if (!decoded) {
+    LogEvent(Event::kReplicaEntryRejected,
+             {{"replica", record.key}, {"reason", decoded.error().message}});
+    this->directory.Remove(record.key, now);
+    return;
+  }
+  const auto* known = this->directory.Find(record.key);
+  if (known == nullptr || known->is_draining != decoded->is_draining ||
+      known->started_ms != decoded->started_ms) {
+    LogEvent(Event::kReplicaChanged,
+             {{"replica", record.key},
+              {"endpoint", decoded->endpoint},
+              {"address", decoded->address},
+              {"state", decoded->is_draining ? "draining" : "ready"},
+              {"reason", "registry"}});
+    this->loads.Forget(record.key);
+  }
+  this->directory.Update(*decoded);
+}
+
+SessionLimits Gateway::CallerLimits() const {
+  SessionLimits limits;
+  if (this->config) {
+    const IngressLimits& ingress = this->config->limits;
+    limits.request.header_bytes = ingress.header_bytes;
+    limits.request.body_bytes = ingress.body_bytes;
+    limits.header_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        ingress.header_time);
+    limits.idle_time = std::chrono::duration_cast<std::chrono::milliseconds>(
+        ingress.idle_time);
+  }
+  return limits;
+}
+
+void Gateway::HandleRequest(const std::shared_ptr<ServerSession>& session,
+                            Request request) {
+  if (!this->config) {
+    session->Respond(kUnavailable, platform::RefusalFields(kNoConfigRetryAfter),
+                     "");
+    return;
+  }
+  if (const auto call = platform::DecodeBatchCall(request.head)) {
+    this->batch->HandleCall(session, *call);
+    return;
+  }
+  const std::string_view host = HostOf(request.head);
+  if (host.empty()) {
+    session->Respond(kBadRequest, {}, "");
+    return;
+  }
+  const Route* route = this->config->FindRoute(host, request.head.path());
+  if (route == nullptr) {
+    session->Respond(kNotFound, {}, "");
+    return;
+  }
+  if (route->kind == RequestKind::kBatch) {
+    this->batch->HandleSubmission(session, request, *route);
+    return;
+  }
+  const std::string endpoint = PickEndpoint(*route, this->random.Unit());
+  std::make_shared<ForwardedRequest>(
+      this->context, ForwardedRequestOptions{.session = session,
+                                             .request = std::move(request),
+                                             .config = this->config,
+                                             .route = route,
+                                             .endpoint = endpoint})
+      ->Start();
+}
+
+bool Gateway::is_ready() const {
+  return !this->shutdown_started && this->config &&
+         this->server_follower->has_snapshot();
+}
+
+void Gateway::NoteReadiness() {
+  const bool ready = this->is_ready();
+  if (ready == this->was_ready) {
+    return;
+  }
+  this->was_ready = ready;
+  LogEvent(Event::kReadinessChanged,
+           {{"ready", ready ? "true" : "false"},
+            {"reason", this->shutdown_started ? "shutdown" : "start"}});
+}
+
+void Gateway::HandleReady(const std::shared_ptr<ServerSession>& session,
+                          const Request& request) {
+  if (request.head.path() != platform::call::kReady) {
+    session->Respond(kNotFound, {}, "");
+    return;
+  }
+  session->Respond(this->is_ready() ? kOk : kUnavailable, {}, "");
+}
+
+void Gateway::HandleMetrics(const std::shared_ptr<ServerSession>& session) {
+  std::string text = this->metrics.ToPrometheus();
+  const auto add = [&text](const std::string& name, std::uint64_t value) {
+    text += name + " " + std::to_string(value) + "\n";
+  };
+  add("crocus_store_calls_total", this->store.calls());
+  add("crocus_replica_connections_total", this->pool.connections_opened());
+  add("crocus_caller_connections", this->callers.sessions_open());
+  add("crocus_replicas_known", this->directory.size());
+  add("crocus_batch_items_running", this->batch->runner().running());
+  add("crocus_batch_results_unwritten", this->batch->unwritten());
+  add("crocus_configuration_version", this->config ? this->config->version : 0);
+  session->Respond(kOk,
+                   HeaderFields::WithContentType("text/plain; version=0.0.4"),
+                   std::move(text));
+}
+
+void Gateway::Tick() {
+  for (const auto& replica : this->directory.DropLapsed(BootTimeNow())) {
+    LogEvent(Event::kReplicaChanged, {{"replica", replica},
+                                      {"state", "gone"},
+                                      {"reason", "not back in the registry"}});
+    this->pool.Drop(replica);
+  }
+  this->NoteReadiness();
+  this->CheckShutdown();
+  this->tick_timer.expires_after(kTickInterval);
+  this->tick_timer.async_wait([this](const auto& error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+void Gateway::BeginShutdown(const std::string& reason) {
+  if (this->shutdown_started) {
+    return;
+  }
+  this->shutdown_started = BootTimeNow();
+  LogEvent(Event::kShutdownStep, {{"step", "unready: " + reason}});
+  this->NoteReadiness();
+  this->callers.AnnounceClose();
+  this->batch->Stop();
+}
+
+void Gateway::CheckShutdown() {
+  if (!this->shutdown_started) {
+    return;
+  }
+  const Duration since = BootTimeNow() - *this->shutdown_started;
+  if (since > kRotationTime && !this->stopped_accepting) {
+    this->stopped_accepting = true;
+    LogEvent(Event::kShutdownStep, {{"step", "closed to new connections"}});
+    this->callers.StopAccepting();
+  }
+  const bool is_done = this->stopped_accepting &&
+                       this->callers.sessions_handling() == 0 &&
+                       this->batch->unwritten() == 0;
+  if (is_done ||
+      since > this->settings.limits.shutdown_time - kShutdownMargin) {
+    LogEvent(Event::kShutdownStep, {{"step", "end"}});
+    this->loop.stop();
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/gateway.h
@@ -0,0 +1,78 @@
+#ifndef GATEWAY_GATEWAY_H_
+#define GATEWAY_GATEWAY_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "Gateway/batch_service.h"
+#include "Gateway/forwarding_context.h"
+#include "Gateway/keyed_follower.h"
+#include "Gateway/peer_exchange.h"
+#include "LibAsyncHttp/http_listener.h"
+#include "LibCore/random.h"
+#include "LibCore/result.h"
+#include "LibSettings/settings.h"
+#include "platform/store_client.h"
+
+namespace crocus {
+
+/// The process on an entry host of the users' platform. All of it runs in the
+/// thread of the event loop: a host has half a core, and no table needs a lock.
+class Gateway {
+ public:
+  Gateway(boost::asio::io_context& loop, GatewaySettings settings);
+
+  Result<void> Start();
+
+  /// Ends in order: unready first, then closed to new connections, and at last,
+  /// when requests have ended or the time is up, out of the event loop.
+  void BeginShutdown(const std::string& reason);
+
+ private:
+  static PlacementOptions MakePlacementOptions(const GatewaySettings& settings);
+
+  void OnConfigRecord(const KeyedRecord& record, const std::string& source);
+  void OnServerRecord(const KeyedRecord& record);
+  void HandleRequest(const std::shared_ptr<ServerSession>& session,
+                     Request request);
+  void HandleReady(const std::shared_ptr<ServerSession>& session,
+                   const Request& request);
+  void HandleMetrics(const std::shared_ptr<ServerSession>& session);
+  SessionLimits CallerLimits() const;
+  bool is_ready() const;
+  /// Logs the answer to readiness checks if it has changed.
+  void NoteReadiness();
+  void Tick();
+  void CheckShutdown();
+
+  boost::asio::io_context& loop;
+  const GatewaySettings settings;
+  platform::StoreClient store;
+  ConnectionPool pool;
+  ReplicaDirectory directory;
+  ReplicaLoads loads;
+  Placement placement;
+  RequestMetrics metrics;
+  Random random;
+  ForwardingContext context;
+  std::shared_ptr<const RoutingConfig> config;
+  std::unique_ptr<KeyedFollower> config_follower;
+  std::unique_ptr<KeyedFollower> server_follower;
+  PeerExchange peers;
+  std::unique_ptr<BatchService> batch;
+  HttpListener callers;
+  HttpListener readiness;
+  HttpListener metrics_listener;
+  boost::asio::steady_timer tick_timer;
+  std::optional<TimePoint> shutdown_started;
+  bool stopped_accepting = false;
+  bool was_ready = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_GATEWAY_H_
--- /dev/null
+++ b/Services/Gateway/keyed_follower.cc
@@ -0,0 +1,181 @@
+#include "Gateway/keyed_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibEvents/event_log.h"
+
+namespace crocus {
+
+namespace {
+
+/// Pause after a call that failed.
+constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+
+}  // namespace
+
+KeyedFollower::KeyedFollower(boost::asio::io_context& loop,
+                             platform::StoreClient& store,
+                             KeyedFollowerOptions options)
+    : store(store), options(std::move(options)), timer(loop) {}
+
+void KeyedFollower::Start() {
+  this->ReadSnapshot("");
+}
+
+void KeyedFollower::Stop() {
+  this->is_stopped = true;
+  this->timer.cancel();
+}
+
+void KeyedFollower::Schedule(Duration pause) {
+  if (this->is_stopped) {
+    return;
+  }
+  this->timer.expires_after(pause);
+  this->timer.async_wait([this](const auto& error) {
+    if (error || this->is_stopped) {
+      return;
+    }
+    if (this->next_offset) {
+      this->ReadOn();
+    } else {
+      this->ReadSnapshot("");
+    }
+  });
+}
+
+void KeyedFollower::ReadSnapshot(const std::string& after_key) {
+  if (after_key.empty()) {
+    this->snapshot.clear();
+    this->snapshot_end.reset();
+  }
+  this->store.ReadNewest(this->options.topic, after_key, [this](auto page) {
+    if (this->is_stopped) {
+      return;
+    }
+    if (!page) {
+      this->OnError(page.error());
+      return;
+    }
+    this->OnAnswer();
+    this->OnSnapshotPage(*page);
+  });
+}
+
+void KeyedFollower::OnSnapshotPage(const NewestPage& page) {
+  if (!this->snapshot_end) {
+    this->snapshot_end = page.end_offset;
+  }
+  this->snapshot.insert(this->snapshot.end(), page.records.begin(),
+                        page.records.end());
+  if (page.has_more && !page.records.empty()) {
+    this->ReadSnapshot(page.records.back().key);
+    return;
+  }
+  this->FinishSnapshot();
+}
+
+void KeyedFollower::FinishSnapshot() {
+  // Pages are read one after the other, so later ones may show records beyond
+  // the end that the first one told. Those are read again in order.
+  std::erase_if(this->snapshot, [this](const KeyedRecord& record) {
+    return record.offset >= *this->snapshot_end;
+  });
+  std::sort(this->snapshot.begin(), this->snapshot.end(),
+            [](const auto& left, const auto& right) {
+              return left.offset < right.offset;
+            });
+  this->next_offset = this->snapshot_end;
+  const auto records = std::exchange(this->snapshot, {});
+  this->options.on_snapshot(records);
+  this->ReadOn();
+}
+
+void KeyedFollower::ReadOn() {
+  const TimePoint sent = BootTimeNow();
+  this->last_read = sent;
+  this->store.Read(
+      this->options.topic, *this->next_offset, this->options.wait,
+      [this, sent](auto page) {
+        if (this->is_stopped) {
+          return;
+        }
+        if (!page) {
+          this->OnError(page.error());
+          return;
+        }
+        this->OnAnswer();
+        this->OnPage(*page, sent);
+        const Duration since = BootTimeNow() - this->last_read;
+        this->Schedule(std::max(Duration::zero(), this->options.pace - since));
+      });
+}
+
+void KeyedFollower::OnPage(const KeyedPage& page, TimePoint sent) {
+  for (const auto& record : page.records) {
+    // Two reads may be under way at once; each record is passed on once.
+    if (record.offset >= *this->next_offset) {
+      this->next_offset = record.offset + 1;
+      this->options.on_record(record);
+    }
+  }
+  if (*this->next_offset >= page.end_offset) {
+    this->current = std::max(this->current, sent);
+  }
+}
+
+void KeyedFollower::CatchUp(std::function<void(bool)> on_done) {
+  if (!this->next_offset || this->is_stopped) {
+    on_done(false);
+    return;
+  }
+  const TimePoint sent = BootTimeNow();
+  this->store.Read(this->options.topic, *this->next_offset, Duration::zero(),
+                   [this, sent, on_done = std::move(on_done)](auto page) {
+                     if (!page || !this->next_offset) {
+                       on_done(false);
+                       return;
+                     }
+                     this->OnPage(*page, sent);
+                     if (*this->next_offset >= page->end_offset) {
+                       on_done(true);
+                     } else {
+                       this->CatchUp(on_done);
+                     }
+                   });
+}
+
+void KeyedFollower::OnError(const Error& error) {
+  if (error.code == ErrorCode::kNotFound && this->next_offset) {
+    // The records were deleted before they were read.
+    this->next_offset.reset();
+    this->ReadSnapshot("");
+    return;
+  }
+  if (!this->lost_since) {
+    this->lost_since = BootTimeNow();
+    LogEvent(Event::kStoreTopicLost,
+             {{"topic", this->options.topic},
+              {"reason", error.message},
+              {"offset", std::to_string(this->next_offset.value_or(0))}});
+    this->options.on_lost();
+  }
+  this->Schedule(kRetryPause);
+}
+
+void KeyedFollower::OnAnswer() {
+  if (!this->lost_since) {
+    return;
+  }
+  const auto away = std::chrono::duration_cast<std::chrono::milliseconds>(
+      BootTimeNow() - *this->lost_since);
+  this->lost_since.reset();
+  LogEvent(Event::kStoreTopicRegained,
+           {{"topic", this->options.topic},
+            {"away_ms", std::to_string(away.count())},
+            {"offset", std::to_string(this->next_offset.value_or(0))}});
+  this->options.on_regained();
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/keyed_follower.h
@@ -0,0 +1,78 @@
+#ifndef GATEWAY_KEYED_FOLLOWER_H_
+#define GATEWAY_KEYED_FOLLOWER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/time.h"
+#include "LibServing/keyed_record.h"
+#include "platform/store_client.h"
+
+namespace crocus {
+
+struct KeyedFollowerOptions {
+  std::string topic;
+  /// Shortest time between two reads. Records that come meanwhile share one,
+  /// since every read is paid for.
+  Duration pace = std::chrono::milliseconds(100);
+  /// How long a read waits for records. A silent connection is noticed after
+  /// this time.
+  Duration wait = std::chrono::milliseconds(1000);
+  /// The newest record of each key, in the order of the offsets. Called at the
+  /// start, and after records were deleted before they could be read.
+  std::function<void(const std::vector<KeyedRecord>&)> on_snapshot;
+  std::function<void(const KeyedRecord&)> on_record;
+  std::function<void()> on_lost;
+  std::function<void()> on_regained;
+};
+
+/// Follows a keyed topic of the store: first the newest record of each key,
+/// then the records that are appended.
+class KeyedFollower {
+ public:
+  KeyedFollower(boost::asio::io_context& loop,
+                platform::StoreClient& store,
+                KeyedFollowerOptions options);
+
+  void Start();
+  void Stop();
+
+  /// Reads to the present end of the topic. The callback gets true once all
+  /// records up to there were passed on, false if the store did not answer.
+  void CatchUp(std::function<void(bool)> on_done);
+
+  bool has_snapshot() const { return this->next_offset.has_value(); }
+  /// When the last read that reached the end of the topic was sent.
+  TimePoint current_as_of() const { return this->current; }
+
+ private:
+  void ReadSnapshot(const std::string& after_key);
+  void OnSnapshotPage(const NewestPage& page);
+  void FinishSnapshot();
+  void ReadOn();
+  void OnPage(const KeyedPage& page, TimePoint sent);
+  void OnError(const Error& error);
+  void OnAnswer();
+  void Schedule(Duration pause);
+
+  platform::StoreClient& store;
+  const KeyedFollowerOptions options;
+  boost::asio::steady_timer timer;
+  /// Set once the snapshot is read.
+  std::optional<std::uint64_t> next_offset;
+  std::vector<KeyedRecord> snapshot;
+  std::optional<std::uint64_t> snapshot_end;
+  std::optional<TimePoint> lost_since;
+  TimePoint current{};
+  TimePoint last_read{};
+  bool is_stopped = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_KEYED_FOLLOWER_H_
--- /dev/null
+++ b/Services/Gateway/peer_exchange.h
@@ -0,0 +1,73 @@
+#ifndef GATEWAY_PEER_EXCHANGE_H_
+#define GATEWAY_PEER_EXCHANGE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/result.h"
+#include "LibCore/time.h"
+#include "LibServing/replica_loads.h"
+
+namespace crocus {
+
+/// Tells the other gateways what this host has running at each replica, and
+/// takes their reports, so that each host places requests by the load of all.
+class PeerExchange {
+ public:
+  PeerExchange(boost::asio::io_context& loop, ReplicaLoads& loads);
+
+  /// Fails with kUnavailable if the port cannot be opened.
+  Result<void> Open(const std::string& address, std::uint16_t port);
+  void Stop();
+
+  /// Another gateway's address, IP:port. This host's own is passed over.
+  void AddPeer(const std::string& address);
+
+  /// Sends a report soon.
+  void OnLoadChange();
+
+  /// Called after a peer's report was taken.
+  void set_on_report(std::function<void()> callback) {
+    this->on_report = std::move(callback);
+  }
+
+  const std::string& own_address() const { return this->own; }
+
+ private:
+  struct Peer {
+    boost::asio::ip::udp::endpoint endpoint;
+    TimePoint heard{};
+    TimePoint sent{};
+    std::uint64_t sender = 0;
+    std::uint64_t sequence = 0;
+  };
+
+  void Receive();
+  void OnDatagram(std::size_t bytes);
+  void SendReports();
+  void Schedule(Duration pause);
+
+  ReplicaLoads& loads;
+  boost::asio::ip::udp::socket socket;
+  boost::asio::steady_timer timer;
+  const std::uint64_t sender;
+  std::uint64_t sequence = 0;
+  std::string own;
+  std::map<std::string, Peer> peers;
+  boost::asio::ip::udp::endpoint source;
+  std::array<char, 65536> buffer{};
+  std::function<void()> on_report;
+  TimePoint last_sent{};
+  bool has_change = false;
+  bool is_stopped = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_PEER_EXCHANGE_H_
--- /dev/null
+++ b/Services/Gateway/replica_attempt.cc
@@ -0,0 +1,112 @@
+#include "Gateway/replica_attempt.h"
+
+#include <utility>
+
+#include "LibAsyncHttp/http_text.h"
+#include "LibEvents/event_log.h"
+#include "LibNetwork/peer_address.h"
+#include "platform/request_headers.h"
+
+namespace crocus {
+
+ReplicaAttempt::ReplicaAttempt(ForwardingContext& context,
+                               AttemptOptions options)
+    : context(context), options(std::move(options)) {}
+
+ReplicaAttempt::~ReplicaAttempt() {
+  this->Release();
+}
+
+void ReplicaAttempt::Start() {
+  this->start_time = BootTimeNow();
+  const auto address = ParsePeerAddress(this->options.address);
+  if (!address) {
+    boost::asio::post(this->context.loop, [self = this->shared_from_this(),
+                                           reason = address.error().message] {
+      self->OnExchangeEnd(ExchangeEnd::kNotConnected, reason);
+    });
+    return;
+  }
+  this->is_counted = true;
+  this->context.loads.OnSent(this->options.replica, this->options.work);
+  this->context.on_load_change();
+  const auto self = this->shared_from_this();
+  ExchangeEvents events{
+      .on_head = [self](const auto& head) { return self->OnHead(head); },
+      .on_body =
+          [self](auto bytes) {
+            if (!self->is_ended && self->refusal.empty()) {
+              self->options.on_body(bytes);
+            }
+          },
+      .on_end = [self](
+                    auto end,
+                    const auto& reason) { self->OnExchangeEnd(end, reason); }};
+  this->connection = this->context.pool.Start(
+      this->options.replica, {address->address, address->port},
+      RequestText(this->options.head, this->options.body), std::move(events),
+      {.connect_time = this->context.connect_time,
+       .is_head_request = this->options.head.method == "HEAD"});
+}
+
+HeadDecision ReplicaAttempt::OnHead(const ResponseHead& head) {
+  const auto answer = platform::DecodeAnswer(head, this->options.attempt_id);
+  if (answer.is_stray) {
+    return HeadDecision::kSkip;
+  }
+  if (answer.is_not_run) {
+    this->refusal = "replica answered " + std::to_string(head.status);
+    return HeadDecision::kAccept;
+  }
+  this->options.on_head(head, answer);
+  return HeadDecision::kAccept;
+}
+
+void ReplicaAttempt::OnExchangeEnd(ExchangeEnd end, const std::string& reason) {
+  if (this->is_ended) {
+    return;
+  }
+  this->is_ended = true;
+  this->Release();
+  const TimePoint now = BootTimeNow();
+  AttemptEnd result{.end = end, .reason = reason};
+  if (!this->refusal.empty()) {
+    result.verdict = Verdict::kNotRun;
+    result.reason = this->refusal;
+  } else if (end == ExchangeEnd::kNotConnected) {
+    result.verdict = Verdict::kNotRun;
+    this->context.loads.OnUnreachable(this->options.replica, now);
+    LogEvent(Event::kReplicaPaused,
+             {{"replica", this->options.replica}, {"reason", reason}});
+  } else if (end != ExchangeEnd::kComplete) {
+    result.verdict = Verdict::kMayHaveRun;
+    this->context.loads.OnFailure(this->options.replica, now);
+  } else {
+    this->context.loads.OnSuccess(this->options.replica);
+  }
+  const auto on_end = std::move(this->options.on_end);
+  this->options.on_head = nullptr;
+  this->options.on_body = nullptr;
+  on_end(result);
+}
+
+void ReplicaAttempt::Cancel() {
+  if (this->is_ended) {
+    return;
+  }
+  this->is_ended = true;
+  if (this->connection) {
+    this->connection->Cancel();
+  }
+  this->Release();
+}
+
+void ReplicaAttempt::Release() {
+  this->connection.reset();
+  if (std::exchange(this->is_counted, false)) {
+    this->context.loads.OnEnded(this->options.replica, this->options.work);
+    this->context.on_load_change();
+  }
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Services/Gateway/replica_attempt.h
@@ -0,0 +1,70 @@
+#ifndef GATEWAY_REPLICA_ATTEMPT_H_
+#define GATEWAY_REPLICA_ATTEMPT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Gateway/forwarding_context.h"
+#include "LibAsyncHttp/exchange.h"
+#include "LibCore/result.h"
+#include "LibServing/replica_loads.h"
+#include "LibServing/request_facts.h"
+
+namespace crocus {
+
+/// How an attempt at a replica ended.
+struct AttemptEnd {
+  ExchangeEnd end = ExchangeEnd::kComplete;
+  /// Whether the replica may have run the request.
+  Verdict verdict = Verdict::kRan;
+  std::string reason;
+};
+
+struct AttemptOptions {
+  std::string replica;
+  std::string address;
+  std::string attempt_id;
+  WorkClass work = WorkClass::kOnline;
+  RequestHead head;
+  std::string body;
+  /// The head of an answer that may be used. Answers to other requests and
+  /// those that declare that nothing was run are not passed on.
+  std::function<void(const ResponseHead&, const ReplicaAnswer&)> on_head;
+  std::function<void(std::string_view)> on_body;
+  /// Called once, unless the attempt is cancelled.
+  std::function<void(const AttemptEnd&)> on_end;
+};
+
+/// One request at one replica. It counts as running there from its start until
+/// it ends or is cancelled.
+class ReplicaAttempt : public std::enable_shared_from_this<ReplicaAttempt> {
+ public:
+  ReplicaAttempt(ForwardingContext& context, AttemptOptions options);
+  ~ReplicaAttempt();
+
+  void Start();
+  /// Closes the connection, so that the replica drops the request.
+  void Cancel();
+
+  const std::string& replica() const { return this->options.replica; }
+  TimePoint started() const { return this->start_time; }
+
+ private:
+  HeadDecision OnHead(const ResponseHead& head);
+  void OnExchangeEnd(ExchangeEnd end, const std::string& reason);
+  void Release();
+
+  ForwardingContext& context;
+  AttemptOptions options;
+  std::shared_ptr<ClientConnection> connection;
+  TimePoint start_time{};
+  /// Reason of a response that says that the request was not run.
+  std::string refusal;
+  bool is_counted = false;
+  bool is_ended = false;
+};
+
+}  // namespace crocus
+
+#endif  // GATEWAY_REPLICA_ATTEMPT_H_
