Start batch items one at a time at each replica, in an order of the host's own

All owners of batch jobs saw the same emptiest replica, filled it in one pass before they heard of each other, and ended the runs again: 2489 and 8705 arrivals were cut before they began. Change: starts happen on a tick, at most one at each replica; hosts prefer different replicas by a hash; an item that was stopped waits 300 ms. Ruled out: full replicas (no answer of status 503 in the logs of a run). Items are still late at p99 (18 to 23 s, due in 18 s).

--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LibCore/hashing.h"
+
 namespace crocus {
 
 namespace {
@@ -9,6 +11,10 @@
 /// Service time of an endpoint that has not served yet.
 constexpr double kInitialServiceSeconds = 0.3;
 constexpr double kNewestServiceWeight = 0.05;
+/// Against a full load of 1.
+constexpr double kPreferenceWeight = 0.5;
+/// Load for each second of distance; 40 ms to another region weigh 0.2.
+constexpr double kBatchDistanceWeight = 5;
 
 }  // namespace
 
@@ -81,19 +87,23 @@
 
 std::optional<PlacementChoice> Placement::ChooseBatch(
     const std::string& endpoint,
-    const std::set<std::string>& tried,
-    TimePoint now) {
+    const std::set<std::string>& excluded,
+    TimePoint now) const {
   std::optional<PlacementChoice> best;
   double best_cost = 0;
-  for (const auto* replica : this->Candidates(endpoint, tried, now)) {
+  for (const auto* replica : this->Candidates(endpoint, excluded, now)) {
     const Outstanding load = this->loads.Total(replica->id, now);
     if (load.total() + this->options.batch_reserve >= replica->slots ||
         this->loads.IsPaused(replica->id, now)) {
       continue;
     }
-    const double cost = static_cast<double>(load.total()) / replica->slots +
-                        ToSeconds(this->DistanceCost(*replica)) +
-                        0.01 * this->random.Unit();
+    const double preference =
+        static_cast<double>(HashBytes(this->options.host + replica->id) >> 11) *
+        0x1.0p-53;
+    const double cost =
+        static_cast<double>(load.total()) / replica->slots +
+        kPreferenceWeight * preference +
+        kBatchDistanceWeight * ToSeconds(this->DistanceCost(*replica));
     if (!best || cost < best_cost) {
       best_cost = cost;
       best = PlacementChoice{
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -15,6 +15,8 @@
 namespace crocus {
 
 struct PlacementOptions {
+  /// Name of this host; spreads the batch work of different hosts.
+  std::string host;
   std::string availability_zone;
   std::string region;
   /// Region of each availability zone.
@@ -53,10 +55,13 @@
       const std::set<std::string>& tried,
       TimePoint now);
 
-  /// The emptiest replica with a slot for batch work.
-  std::optional<PlacementChoice> ChooseBatch(const std::string& endpoint,
-                                             const std::set<std::string>& tried,
-                                             TimePoint now);
+  /// A replica with a slot for batch work, apart from `excluded`. Hosts prefer
+  /// different replicas: with the same preference all of them would fill the
+  /// emptiest one before they hear of each other.
+  std::optional<PlacementChoice> ChooseBatch(
+      const std::string& endpoint,
+      const std::set<std::string>& excluded,
+      TimePoint now) const;
 
   /// Takes a finished request into account for the expected waits.
   void OnServed(const std::string& endpoint, Duration time);
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -16,6 +16,8 @@
 /// above the longest wait in an engine's queue.
 constexpr Duration kSilenceLimit = std::chrono::seconds(4);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
+/// The replica was full; peers' reports of it come several times in this time.
+constexpr Duration kStoppedPause = std::chrono::milliseconds(300);
 constexpr Duration kFailedPause = std::chrono::milliseconds(300);
 
 constexpr std::uint32_t kOk = 200;
@@ -57,7 +59,6 @@
                                 std::uint32_t count) {
   this->queue.SetPartitions(std::move(partitions), count);
   this->ShedRuns();
-  this->StartItems();
 }
 
 void BatchRunner::Tick() {
@@ -129,28 +130,29 @@
 
 void BatchRunner::StartItems() {
   const auto current = this->config();
-  if (!current || this->is_stopped || this->is_starting) {
+  if (!current || this->is_stopped) {
     return;
   }
-  this->is_starting = true;
   const TimePoint now = BootTimeNow();
+  std::set<std::string> started;
   while (const auto item = this->queue.Next(this->board, *current, now)) {
     const BoardJob* job = this->board.Find(item->job);
     const Route* route = RouteOfJob(*current, job->record);
     const std::string endpoint = EndpointOfJob(*route, item->job);
     auto& progress = this->queue.Progress(*item);
-    auto choice =
-        this->context.placement.ChooseBatch(endpoint, progress.avoided, now);
+    std::set<std::string> excluded = started;
+    excluded.insert(progress.avoided.begin(), progress.avoided.end());
+    auto choice = this->context.placement.ChooseBatch(endpoint, excluded, now);
     if (!choice && !progress.avoided.empty()) {
       progress.avoided.clear();
-      choice = this->context.placement.ChooseBatch(endpoint, {}, now);
+      choice = this->context.placement.ChooseBatch(endpoint, started, now);
     }
     if (!choice) {
       break;
     }
+    started.insert(choice->replica);
     this->StartItem(*item, *route, *choice);
   }
-  this->is_starting = false;
 }
 
 void BatchRunner::StartItem(const ItemReference& item,
@@ -230,7 +232,6 @@
   if (is_whole && run.is_usable && run.is_in_order &&
       run.stream.rest().empty() && progress.events > 0) {
     this->FinishItem(item, true);
-    this->StartItems();
     return;
   }
   LogEvent(
@@ -257,7 +258,6 @@
       this->FinishItem(item, false);
     }
   }
-  this->StartItems();
 }
 
 void BatchRunner::StopRun(const ItemReference& item,
@@ -269,7 +269,8 @@
   const auto attempt = found->second.attempt;
   this->runs.erase(found);
   this->queue.SetRunning(item, false);
-  const auto& progress = this->queue.Progress(item);
+  auto& progress = this->queue.Progress(item);
+  progress.not_before = BootTimeNow() + kStoppedPause;
   const BoardJob* job = this->board.Find(item.job);
   LogEvent(Event::kBatchItemStopped,
            {{"request", job == nullptr ? "" : job->items[item.item].spec.id},
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -35,7 +35,8 @@
 
   void SetPartitions(std::set<std::uint32_t> partitions, std::uint32_t count);
 
-  /// Starts items as long as there is room. Called when jobs or loads change.
+  /// Starts at most one item at each replica with room. More would be started
+  /// by several hosts before they hear of each other.
   void StartItems();
 
   /// Ends runs where online requests need the slots, and those of jobs that
@@ -77,7 +78,6 @@
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
   bool is_stopped = false;
-  bool is_starting = false;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -108,7 +108,6 @@
   const auto first = record.key.find('/');
   const auto second = record.key.find('/', first + 1);
   this->AnswerWaiters(record.key.substr(first + 1, second - first - 1));
-  this->batch_runner.StartItems();
 }
 
 void BatchService::AnnouncePeer() {
