--- a/Libraries/LibAsyncHttp/http_head.cc
+++ b/Libraries/LibAsyncHttp/http_head.cc
@@ -87,7 +87,8 @@
 }
 
 std::string_view RequestHead::path() const {
-  return std::string_view(this->target).substr(0, this->target.find('?'));
+  const std::string_view whole = this->target;
+  return whole.substr(0, whole.find('?'));
 }
 
 std::string_view RequestHead::QueryValue(std::string_view name) const {
--- a/Libraries/LibAsyncHttp/http_listener.cc
+++ b/Libraries/LibAsyncHttp/http_listener.cc
@@ -19,8 +19,7 @@
 HttpListener::HttpListener(boost::asio::io_context& loop,
                            std::function<SessionLimits()> limits,
                            Handler handler)
-    : loop(loop),
-      acceptor(loop),
+    : acceptor(loop),
       retry_timer(loop),
       session_options(std::make_shared<SessionOptions>()) {
   this->session_options->limits = std::move(limits);
@@ -104,6 +103,10 @@
   }
 }
 
+std::uint16_t HttpListener::port() const {
+  return this->acceptor.local_endpoint().port();
+}
+
 std::size_t HttpListener::sessions_handling() const {
   std::size_t count = 0;
   for (const auto& [key, weak] : this->sessions) {
--- a/Libraries/LibAsyncHttp/http_listener.h
+++ b/Libraries/LibAsyncHttp/http_listener.h
@@ -30,13 +30,15 @@
   /// Refuses new connections and closes those that handle no request.
   void StopAccepting();
 
+  /// The port that is listened on.
+  std::uint16_t port() const;
+
   std::size_t sessions_handling() const;
   std::size_t sessions_open() const { return this->sessions.size(); }
 
  private:
   void Accept();
 
-  boost::asio::io_context& loop;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer retry_timer;
   std::shared_ptr<SessionOptions> session_options;
--- a/Libraries/LibAsyncHttp/http_text.cc
+++ b/Libraries/LibAsyncHttp/http_text.cc
@@ -55,8 +55,9 @@
 }
 
 std::string ReasonPhrase(std::uint32_t status) {
-  return std::string(boost::beast::http::obsolete_reason(
-      boost::beast::http::int_to_status(status)));
+  return boost::beast::http::obsolete_reason(
+             boost::beast::http::int_to_status(status))
+      .to_string();
 }
 
 }  // namespace crocus
--- a/Libraries/LibAsyncHttp/request_parser.cc
+++ b/Libraries/LibAsyncHttp/request_parser.cc
@@ -15,8 +15,8 @@
                                     Text target,
                                     int,
                                     ErrorCode&) {
-  this->collected.head.method = std::string(method_text);
-  this->collected.head.target = std::string(target);
+  this->collected.head.method = method_text.to_string();
+  this->collected.head.target = target.to_string();
 }
 
 void RequestParser::on_response_impl(int, Text, int, ErrorCode& error) {
@@ -27,7 +27,7 @@
                                   Text name,
                                   Text value,
                                   ErrorCode&) {
-  this->collected.head.fields.Add(std::string(name), std::string(value));
+  this->collected.head.fields.Add(name.to_string(), value.to_string());
 }
 
 void RequestParser::on_header_impl(ErrorCode&) {
--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -30,14 +30,14 @@
                                       int,
                                       ErrorCode&) {
   this->collected.status = static_cast<std::uint32_t>(status);
-  this->collected.reason = std::string(reason);
+  this->collected.reason = reason.to_string();
 }
 
 void ResponseParser::on_field_impl(boost::beast::http::field,
                                    Text name,
                                    Text value,
                                    ErrorCode&) {
-  this->collected.fields.Add(std::string(name), std::string(value));
+  this->collected.fields.Add(name.to_string(), value.to_string());
 }
 
 void ResponseParser::on_header_impl(ErrorCode&) {
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -43,6 +43,7 @@
   kBatchJobAccepted = 60,
   kBatchItemFinished = 61,
   kBatchJobEnded = 62,
+  kBatchItemFailed = 63,
 };
 
 /// True if this version defines the type.
@@ -71,6 +72,7 @@
     case RecordType::kBatchJobAccepted:
     case RecordType::kBatchItemFinished:
     case RecordType::kBatchJobEnded:
+    case RecordType::kBatchItemFailed:
       return true;
   }
   return false;
@@ -669,6 +671,23 @@
   }
 };
 
+/// A replica answered a run of the item with an error. Its key is the same for
+/// each try to append it.
+struct BatchItemFailed {
+  static constexpr RecordType kType = RecordType::kBatchItemFailed;
+
+  std::string job{};
+  /// Position of the item in its job.
+  std::uint32_t item{0};
+
+  bool operator==(const BatchItemFailed&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, item);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibServing/batch_board.cc
+++ b/Libraries/LibServing/batch_board.cc
@@ -12,6 +12,7 @@
 constexpr std::string_view kJobKind = "job";
 constexpr std::string_view kBodyKind = "body";
 constexpr std::string_view kFinishedKind = "done";
+constexpr std::string_view kFailedKind = "fail";
 constexpr std::string_view kEndedKind = "end";
 
 std::string MakeKey(std::string_view kind,
@@ -40,6 +41,12 @@
   return MakeKey(kFinishedKind, job, std::to_string(item) + "/" + tag);
 }
 
+std::string FailedKey(const std::string& job,
+                      std::size_t item,
+                      const std::string& tag) {
+  return MakeKey(kFailedKind, job, std::to_string(item) + "/" + tag);
+}
+
 std::string EndedKey(const std::string& job, const std::string& tag) {
   return MakeKey(kEndedKind, job, tag);
 }
@@ -76,6 +83,9 @@
   if (parts[0] == kFinishedKind) {
     return this->FinishItem(record);
   }
+  if (parts[0] == kFailedKind) {
+    return this->CountFailure(record);
+  }
   if (parts[0] == kEndedKind) {
     return this->EndJob(record);
   }
@@ -125,6 +135,17 @@
   return {};
 }
 
+Result<void> BatchBoard::CountFailure(const KeyedRecord& record) {
+  TRY_ASSIGN(const auto failed,
+             Decode<records::BatchItemFailed>(*record.value));
+  const auto found = this->all.find(failed.job);
+  if (found == this->all.end() || failed.item >= found->second.items.size()) {
+    return Failure(ErrorCode::kCorrupt, "failure of an unknown item");
+  }
+  found->second.items[failed.item].failures.insert(record.key);
+  return {};
+}
+
 Result<void> BatchBoard::EndJob(const KeyedRecord& record) {
   TRY_ASSIGN(const auto ended, Decode<records::BatchJobEnded>(*record.value));
   const auto found = this->all.find(ended.job);
--- a/Libraries/LibServing/batch_board.h
+++ b/Libraries/LibServing/batch_board.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,8 @@
   std::string body;
   ItemState state = ItemState::kOpen;
   std::string text;
+  /// Keys of the records of failed runs.
+  std::set<std::string> failures;
 };
 
 struct BoardJob {
@@ -54,6 +57,7 @@
  private:
   Result<void> AcceptJob(const KeyedRecord& record);
   Result<void> FinishItem(const KeyedRecord& record);
+  Result<void> CountFailure(const KeyedRecord& record);
   Result<void> EndJob(const KeyedRecord& record);
 
   std::map<std::string, BoardJob> all;
@@ -73,6 +77,9 @@
 std::string FinishedKey(const std::string& job,
                         std::size_t item,
                         const std::string& tag);
+std::string FailedKey(const std::string& job,
+                      std::size_t item,
+                      const std::string& tag);
 std::string EndedKey(const std::string& job, const std::string& tag);
 
 }  // namespace crocus
--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -108,6 +108,20 @@
   return this->progress[item];
 }
 
+std::size_t BatchQueue::FailureCount(const BatchBoard& board,
+                                     const ItemReference& item) const {
+  std::set<std::string> failures;
+  if (const BoardJob* job = board.Find(item.job)) {
+    failures = job->items[item.item].failures;
+  }
+  if (const auto known = this->progress.find(item);
+      known != this->progress.end()) {
+    failures.insert(known->second.failures.begin(),
+                    known->second.failures.end());
+  }
+  return failures.size();
+}
+
 void BatchQueue::SetRunning(const ItemReference& item, bool is_running) {
   if (is_running) {
     this->running.insert(item);
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -30,8 +30,8 @@
   std::string text;
   std::optional<std::uint64_t> last_event;
   std::uint64_t events = 0;
-  /// Answers that count as failed attempts.
-  std::uint32_t failures = 0;
+  /// Keys of the records of failed runs that this host has seen.
+  std::set<std::string> failures;
   std::uint32_t attempts = 0;
   /// Replicas where the last attempts failed.
   std::set<std::string> avoided;
@@ -62,6 +62,10 @@
                                      std::int64_t unix_milliseconds) const;
 
   ItemProgress& Progress(const ItemReference& item);
+  /// Failed runs of the item on any host: those on the board, and those of this
+  /// host that are not there yet.
+  std::size_t FailureCount(const BatchBoard& board,
+                           const ItemReference& item) const;
   void SetRunning(const ItemReference& item, bool is_running);
   /// The item has its final state, although the board may not show it yet.
   void SetFinished(const ItemReference& item);
--- a/Libraries/LibSettings/settings.cc
+++ b/Libraries/LibSettings/settings.cc
@@ -229,6 +229,9 @@
   reader.Read("host", "peer_port",
               {.required = true, .minimum = 0, .maximum = 65535},
               settings.host.peer_port);
+  reader.Read("host", "port_file",
+              {.required = false, .minimum = 0, .maximum = 9e15},
+              settings.host.port_file);
   reader.Read("host", "metrics_port",
               {.required = false, .minimum = 0, .maximum = 65535},
               settings.host.metrics_port);
--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -253,14 +253,19 @@
     std::string availability_zone{""};
     /// Region of this host.
     std::string region{""};
-    /// IP:port for callers.
+    /// IP:port for callers; port 0 lets the kernel choose.
     std::string caller_address{""};
-    /// IP:port for the platform's readiness checks.
+    /// IP:port for the platform's readiness checks; port 0 lets the kernel
+    /// choose.
     std::string ready_address{""};
     /// IP address of this host, for its peers and for metrics.
     std::string address{""};
-    /// UDP port for the load reports of the other gateways.
+    /// UDP port for the load reports of the other gateways; 0 lets the kernel
+    /// choose.
     std::uint16_t peer_port{0};
+    /// File that receives the ports, for addresses with port 0; empty writes
+    /// none.
+    std::string port_file{""};
     /// TCP port that serves /metrics; 0 serves none.
     std::uint16_t metrics_port{9464};
     /// Each availability zone and its region as zone=region, separated by
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -250,11 +250,12 @@
   if (is_whole && run.status == kUnprocessable) {
     this->FinishItem(item, false);
   } else if (is_whole && run.status == kServerError) {
-    ++progress.failures;
+    progress.failures.insert(this->writer.AppendFailed(item));
     const auto current = this->config();
     const Route* route =
         RouteOfJob(*current, this->board.Find(item.job)->record);
-    if (route != nullptr && progress.failures >= route->max_attempts) {
+    if (route != nullptr &&
+        this->queue.FailureCount(this->board, item) >= route->max_attempts) {
       this->FinishItem(item, false);
     }
   }
@@ -289,7 +290,8 @@
        {"job", item.job},
        {"outcome", is_completed ? "completed" : "abandoned"},
        {"attempts", std::to_string(progress.attempts)},
-       {"failures", std::to_string(progress.failures)},
+       {"failures",
+        std::to_string(this->queue.FailureCount(this->board, item))},
        {"total_ms", MillisecondsText(BootTimeNow() - progress.first_started)}});
   this->writer.AppendFinished({.job = item.job,
                                .item = item.item,
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -109,10 +109,20 @@
 }
 
 void BatchWriter::AppendFinished(records::BatchItemFinished item) {
-  this->finished.push_back(std::move(item));
+  this->pending.push_back({.key = std::nullopt,
+                           .item = {.job = item.job, .item = item.item},
+                           .value = Encode(item)});
   this->ScheduleFlush(kFlushDelay);
 }
 
+std::string BatchWriter::AppendFailed(const ItemReference& item) {
+  std::string key = FailedKey(item.job, item.item, this->NextTag());
+  const records::BatchItemFailed failed{.job = item.job, .item = item.item};
+  this->pending.push_back({.key = key, .item = item, .value = Encode(failed)});
+  this->ScheduleFlush(kFlushDelay);
+  return key;
+}
+
 void BatchWriter::ScheduleFlush(Duration pause) {
   if (this->is_flush_scheduled || this->is_flushing) {
     return;
@@ -128,19 +138,21 @@
 }
 
 void BatchWriter::Flush() {
-  if (this->finished.empty()) {
+  if (this->pending.empty()) {
     return;
   }
   std::vector<KeyedWrite> writes;
   std::uint64_t bytes = 0;
-  for (const auto& item : this->finished) {
-    std::string value = Encode(item);
-    bytes += value.size() + kRecordOverhead;
+  for (const auto& record : this->pending) {
+    bytes += record.value.size() + kRecordOverhead;
     if (!writes.empty() && bytes > this->options.call_bytes) {
       break;
     }
-    writes.push_back({.key = FinishedKey(item.job, item.item, this->NextTag()),
-                      .value = std::move(value)});
+    writes.push_back(
+        {.key = record.key ? *record.key
+                           : FinishedKey(record.item.job, record.item.item,
+                                         this->NextTag()),
+         .value = record.value});
   }
   this->is_flushing = true;
   const std::size_t count = writes.size();
@@ -156,10 +168,10 @@
       this->ScheduleFlush(kRetryPause);
       return;
     }
-    this->finished.erase(
-        this->finished.begin(),
-        this->finished.begin() + static_cast<std::ptrdiff_t>(count));
-    if (!this->finished.empty()) {
+    this->pending.erase(
+        this->pending.begin(),
+        this->pending.begin() + static_cast<std::ptrdiff_t>(count));
+    if (!this->pending.empty()) {
       this->ScheduleFlush(kFlushDelay);
     }
   });
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +14,7 @@
 
 #include "LibCore/result.h"
 #include "LibMessages/records.h"
+#include "LibServing/batch_queue.h"
 #include "platform/batch_wire.h"
 #include "platform/store_client.h"
 
@@ -44,12 +47,25 @@
   /// Appends an item's final state, together with others, until it succeeds.
   void AppendFinished(records::BatchItemFinished finished);
 
+  /// Appends that a run of the item has failed, likewise. Returns the record's
+  /// key.
+  std::string AppendFailed(const ItemReference& item);
+
   /// Drops keys, as far as the store answers.
   void DropKeys(const std::vector<std::string>& keys);
 
-  std::size_t unwritten() const { return this->finished.size(); }
+  std::size_t unwritten() const { return this->pending.size(); }
 
  private:
+  /// A record that is appended until the store has confirmed it.
+  struct Pending {
+    /// A new key for each try, unless it is set. With the same key, a later
+    /// copy would take the place of the first and change its offset.
+    std::optional<std::string> key;
+    ItemReference item;
+    std::string value;
+  };
+
   std::string NextTag();
   void AppendCalls(std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
                    std::function<void(Result<void>)> on_done);
@@ -60,7 +76,7 @@
   const BatchWriterOptions options;
   boost::asio::steady_timer timer;
   std::uint64_t next_tag = 1;
-  std::deque<records::BatchItemFinished> finished;
+  std::deque<Pending> pending;
   bool is_flushing = false;
   bool is_flush_scheduled = false;
 };
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -40,6 +40,20 @@
   return boost::asio::ip::tcp::endpoint(address.address, address.port);
 }
 
+/// As ParseEndpoint, but port 0 is allowed: the kernel chooses one.
+Result<boost::asio::ip::tcp::endpoint> ParseListenEndpoint(
+    const std::string& text) {
+  constexpr std::string_view kAnyPort = ":0";
+  if (text.size() <= kAnyPort.size() ||
+      text.substr(text.size() - kAnyPort.size()) != kAnyPort) {
+    return ParseEndpoint(text);
+  }
+  TRY_ASSIGN(auto endpoint,
+             ParseEndpoint(text.substr(0, text.size() - 1) + "1"));
+  endpoint.port(0);
+  return endpoint;
+}
+
 /// The host name without a port.
 std::string_view HostOf(const RequestHead& head) {
   const std::string_view host = head.fields.Find("host").value_or("");
@@ -113,9 +127,9 @@
 Result<void> Gateway::Start() {
   TRY(ParseEndpoint(this->settings.store.address));
   TRY_ASSIGN(const auto caller_address,
-             ParseEndpoint(this->settings.host.caller_address));
+             ParseListenEndpoint(this->settings.host.caller_address));
   TRY_ASSIGN(const auto ready_address,
-             ParseEndpoint(this->settings.host.ready_address));
+             ParseListenEndpoint(this->settings.host.ready_address));
   TRY(this->callers.Listen(caller_address));
   TRY(this->readiness.Listen(ready_address));
   if (this->settings.host.metrics_port != 0) {
@@ -179,6 +193,14 @@
   return {};
 }
 
+std::string Gateway::PortsText() const {
+  return "http " + std::to_string(this->callers.port()) + "\nready " +
+         std::to_string(this->readiness.port()) + "\npeer " +
+         this->peers.own_address().substr(this->peers.own_address().rfind(':') +
+                                          1) +
+         "\n";
+}
+
 void Gateway::OnConfigRecord(const KeyedRecord& record,
                              const std::string& source) {
   if (record.key != platform::topic::kConfigKey || !record.value) {
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -28,6 +28,9 @@
 
   Result<void> Start();
 
+  /// The ports in use, one "kind number" a line.
+  std::string PortsText() const;
+
   /// Ends in order: unready first, then closed to new connections, and at last,
   /// when requests have ended or the time is up, out of the event loop.
   void BeginShutdown(const std::string& reason);
--- a/Services/Gateway/main.cc
+++ b/Services/Gateway/main.cc
@@ -28,6 +28,9 @@
                      {{"reason", started.error().message}});
     return static_cast<int>(crocus::ExitCode::kFailure);
   }
+  if (!settings->host.port_file.empty()) {
+    crocus::WriteFileAtomically(settings->host.port_file, gateway.PortsText());
+  }
   crocus::UnblockStopSignals();
   boost::asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
   const std::function<void()> wait_for_signal = [&] {
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -46,7 +46,8 @@
     return Failure(ErrorCode::kUnavailable,
                    "cannot open the peer port: " + error.message());
   }
-  this->own = address + ":" + std::to_string(port);
+  this->own =
+      address + ":" + std::to_string(this->socket.local_endpoint().port());
   this->Receive();
   this->Schedule(kReportInterval);
   return {};
--- /dev/null
+++ b/Tests/Gateway/batch_test.cc
@@ -0,0 +1,190 @@
+#include <CppUTest/TestHarness.h>
+
+#include <signal.h>
+
+#include <nlohmann/json.hpp>
+
+#include "PlatformStandin/gateway_fleet.h"
+#include "platform/names.h"
+
+namespace crocus {
+
+namespace {
+
+std::uint32_t StatusOf(const Result<FetchedResponse>& reply) {
+  return reply ? reply->head.status : 0;
+}
+
+std::vector<std::string> Items(const std::string& prefix, int count) {
+  std::vector<std::string> items;
+  for (int i = 0; i < count; ++i) {
+    items.push_back(prefix + std::to_string(i));
+  }
+  return items;
+}
+
+}  // namespace
+
+TEST_GROUP(GatewayBatch_TwoGateways) {
+  GatewayFleet fleet{GatewayFleetOptions{.waiting_token_limit = 1000}};
+
+  void setup() override {
+    this->fleet.AddReplica("model", {.id = "i-1"});
+    this->fleet.AddReplica("model", {.id = "i-2"});
+    this->fleet.StartGateway("a");
+    this->fleet.StartGateway("b");
+  }
+
+  bool WaitForResults(const std::string& gateway, const std::string& job,
+                      std::size_t count) {
+    return this->fleet.RunUntil(
+        [&, this] {
+          const auto page = this->fleet.ReadResults(gateway, job);
+          return !page.is_null() && page["results"].size() >= count;
+        },
+        std::chrono::seconds(20));
+  }
+
+  void CheckWhole(const nlohmann::json& page, std::size_t count) {
+    CHECK_EQUAL(count, page["results"].size());
+    std::set<std::string> seen;
+    for (const auto& result : page["results"]) {
+      const auto id = result["id"].get<std::string>();
+      CHECK_TRUE(seen.insert(id).second);
+      STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
+      STRCMP_EQUAL(ExpectedText(id).c_str(),
+                   result["text"].get<std::string>().c_str());
+    }
+  }
+};
+
+// Guards against results that are missing, doubled or mixed, and against
+// positions that differ between hosts.
+TEST(GatewayBatch_TwoGateways, ResultsAreWholeAndTheSameEverywhere) {
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job1", Items("x", 8))));
+  CHECK_TRUE(this->WaitForResults("b", "job1", 8));
+  const auto page = this->fleet.ReadResults("b", "job1");
+  this->CheckWhole(page, 8);
+  CHECK_TRUE(page == this->fleet.ReadResults("a", "job1"));
+}
+
+// Guards against accepting a job a second time when its caller sends it again.
+TEST(GatewayBatch_TwoGateways, RepeatedSubmissionIsAcceptedOnce) {
+  const auto items = Items("y", 3);
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job2", items)));
+  this->fleet.RunFor(std::chrono::milliseconds(300));
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("b", "job2", items)));
+  CHECK_TRUE(this->WaitForResults("a", "job2", 3));
+  this->CheckWhole(this->fleet.ReadResults("a", "job2"), 3);
+}
+
+// Guards against losing accepted work or changing results when all processes
+// die at once.
+TEST(GatewayBatch_TwoGateways, JobsAndPositionsOutliveAllProcesses) {
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job3", Items("z", 6))));
+  CHECK_TRUE(this->WaitForResults("a", "job3", 2));
+  const auto before = this->fleet.ReadResults("a", "job3");
+  for (const std::string name : {"a", "b"}) {
+    this->fleet.processes.Signal(name, SIGKILL);
+    this->fleet.processes.Wait(name, std::chrono::seconds(2));
+  }
+  this->fleet.store.Compact("keyed.crocus");
+  this->fleet.StartGateway("c");
+  CHECK_TRUE(this->WaitForResults("c", "job3", 6));
+  const auto after = this->fleet.ReadResults("c", "job3");
+  this->CheckWhole(after, 6);
+  for (std::size_t i = 0; i < before["results"].size(); ++i) {
+    CHECK_TRUE(before["results"][i] == after["results"][i]);
+  }
+}
+
+// Guards against jobs or results that are doubled because the store's answers
+// to appends were lost.
+TEST(GatewayBatch_TwoGateways, LostStoreAnswersDoNotDoubleAnything) {
+  this->fleet.store.set_faults({.lost_answers = 0.5});
+  CHECK_TRUE(this->fleet.RunUntil([this] {
+    return StatusOf(this->fleet.Submit("a", "job4", Items("w", 6))) == 202;
+  }));
+  CHECK_TRUE(this->WaitForResults("b", "job4", 6));
+  this->fleet.RunFor(std::chrono::seconds(1));
+  const auto page = this->fleet.ReadResults("b", "job4");
+  this->CheckWhole(page, 6);
+  CHECK_TRUE(page == this->fleet.ReadResults("a", "job4"));
+}
+
+// Guards against a refusal that is not true: the job's record may be in the
+// store although its answer was lost.
+TEST(GatewayBatch_TwoGateways, LostAnswerToSubmissionIsNotCalledRefused) {
+  this->fleet.store.set_faults({.lost_answers = 1});
+  CHECK_EQUAL(504U, StatusOf(this->fleet.Submit("a", "job5", Items("v", 2))));
+  this->fleet.store.set_faults({});
+}
+
+// Guards against waiting until the caller gives up while the store is away,
+// and against "no such job" from a host that cannot know.
+TEST(GatewayBatch_TwoGateways, StoreAwayRefusesSubmissionsAndUnknownReads) {
+  this->fleet.store.set_faults({.refusal = 503});
+  CHECK_EQUAL(503U, StatusOf(this->fleet.Submit("a", "job6", Items("u", 2))));
+  RequestHead head{.method = "GET",
+                   .target = std::string(platform::call::kJobPrefix) + "nojob"};
+  head.fields.Add("Host", "shop.example");
+  CHECK_EQUAL(503U, StatusOf(this->fleet.Send("a", head)));
+  this->fleet.store.set_faults({});
+  CHECK_TRUE(this->fleet.RunUntil(
+      [this, &head] { return StatusOf(this->fleet.Send("a", head)) == 404; }));
+}
+
+// Guards against an item that always fails being sent without end.
+TEST(GatewayBatch_TwoGateways, FailingItemIsGivenUpAfterItsAttempts) {
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job7", {"poison1"})));
+  CHECK_TRUE(this->WaitForResults("a", "job7", 1));
+  const auto page = this->fleet.ReadResults("a", "job7");
+  STRCMP_EQUAL("abandoned",
+               page["results"][0]["state"].get<std::string>().c_str());
+  // Hosts that hand the job over may count a failure late; the promise is at
+  // most three times the attempts of the route.
+  CHECK_TRUE(this->fleet.RunsOf("poison1") >= 3);
+  CHECK_TRUE(this->fleet.RunsOf("poison1") <= 9);
+}
+
+// Guards against waiting tokens above the operator's limit.
+TEST(GatewayBatch_TwoGateways, SubmissionAboveTheTokenLimitIsRefused) {
+  CHECK_EQUAL(429U, StatusOf(this->fleet.Submit("a", "job8", Items("t", 11))));
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job9", Items("s", 10))));
+}
+
+// Guards against a job that goes on after its caller has ended it.
+TEST(GatewayBatch_TwoGateways, EndedJobStops) {
+  for (const auto& replica : this->fleet.replicas) {
+    replica->set_faults({.is_mute = true});
+  }
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job10", Items("q", 4))));
+  this->fleet.RunFor(std::chrono::milliseconds(600));
+  RequestHead head{.method = "DELETE",
+                   .target = std::string(platform::call::kJobPrefix) + "job10"};
+  head.fields.Add("Host", "shop.example");
+  CHECK_EQUAL(200U, StatusOf(this->fleet.Send("b", head)));
+  CHECK_EQUAL(200U, StatusOf(this->fleet.Send("b", head)));
+  CHECK_TRUE(this->fleet.RunUntil(
+      [this] {
+        return this->fleet.replicas[0]->running() +
+                   this->fleet.replicas[1]->running() ==
+               0;
+      },
+      std::chrono::seconds(3)));
+}
+
+// Guards against items that are lost when the store deals all partitions anew
+// or drops its history.
+TEST(GatewayBatch_TwoGateways, RebalanceAndCompactionLoseNothing) {
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job11", Items("p", 8))));
+  for (int i = 0; i < 5; ++i) {
+    this->fleet.store.Rebalance();
+    this->fleet.store.Compact("keyed.crocus");
+    this->fleet.RunFor(std::chrono::milliseconds(300));
+  }
+  CHECK_TRUE(this->WaitForResults("b", "job11", 8));
+  this->CheckWhole(this->fleet.ReadResults("b", "job11"), 8);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibAsyncHttp/http_head_test.cc
@@ -0,0 +1,79 @@
+#include "LibAsyncHttp/http_head.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/beast/http/error.hpp>
+
+#include "LibAsyncHttp/http_text.h"
+#include "LibAsyncHttp/request_parser.h"
+#include "LibAsyncHttp/response_parser.h"
+
+namespace crocus {
+
+TEST_GROUP(RequestHead_WithQuery){};
+
+// Guards against matching a route by the query.
+TEST(RequestHead_WithQuery, PathAndQueryAreTold) {
+  const RequestHead head{.method = "GET", .target = "/a/b?x=1&after=12"};
+  CHECK_TRUE(head.path() == "/a/b");
+  CHECK_TRUE(head.QueryValue("after") == "12");
+  CHECK_TRUE(head.QueryValue("none").empty());
+}
+
+TEST_GROUP(HeaderFields_OfOneConnection){};
+
+// Guards against passing on fields that concern one connection.
+TEST(HeaderFields_OfOneConnection, EndToEndLeavesThemOut) {
+  HeaderFields fields;
+  fields.Add("Connection", "close, X-Named");
+  fields.Add("X-Named", "1");
+  fields.Add("Transfer-Encoding", "chunked");
+  fields.Add("Keep-Alive", "timeout=5");
+  fields.Add("Content-Length", "5");
+  fields.Add("X-Kept", "1");
+  CHECK_EQUAL(1U, fields.EndToEnd().all().size());
+  CHECK_TRUE(fields.HasToken("connection", "CLOSE"));
+}
+
+TEST_GROUP(Parsers_BytesOneByOne){};
+
+// Guards against parsers that depend on how the network cuts a message.
+TEST(Parsers_BytesOneByOne, ChunkedRequestIsCollected) {
+  const std::string text =
+      "POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      ChunkText("hello ") + ChunkText("world") + std::string(kLastChunk);
+  RequestParser parser({});
+  std::string pending;
+  for (const char byte : text) {
+    pending.push_back(byte);
+    boost::beast::error_code error;
+    const std::size_t used = parser.put(boost::asio::buffer(pending), error);
+    pending.erase(0, used);
+    CHECK_TRUE(!error || error == boost::beast::http::error::need_more);
+  }
+  CHECK_TRUE(parser.is_done());
+  STRCMP_EQUAL("hello world", parser.request().body.c_str());
+}
+
+// Guards against a body without an end that is taken as whole.
+TEST(Parsers_BytesOneByOne, ResponseWithoutLengthNeedsTheEndOfItsConnection) {
+  const std::string text = "HTTP/1.1 200 OK\r\n\r\nabc";
+  ResponseParser parser;
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(text), error);
+  CHECK_TRUE(parser.need_eof());
+  CHECK_FALSE(parser.is_done());
+  STRCMP_EQUAL("abc", parser.TakeBody().c_str());
+}
+
+// Guards against requests above the operator's limits.
+TEST(Parsers_BytesOneByOne, BodyAboveTheLimitIsAnError) {
+  const std::string text =
+      "POST /p HTTP/1.1\r\nContent-Length: 11\r\n\r\nhello world";
+  RequestParser parser({.body_bytes = 10});
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(text), error);
+  CHECK_TRUE(error == boost::beast::http::error::body_limit);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibServing/batch_board_test.cc
@@ -0,0 +1,267 @@
+#include "LibServing/batch_board.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+#include "LibMessages/codec.h"
+#include "LibServing/batch_queue.h"
+
+namespace crocus {
+
+namespace {
+
+KeyedRecord Body(const std::string& job,
+                 const std::string& tag,
+                 std::size_t item,
+                 const std::string& body) {
+  return {.key = BodyKey(job, tag, item, 0), .value = body};
+}
+
+KeyedRecord Job(const std::string& job, const std::string& tag, int items) {
+  records::BatchJobAccepted accepted{
+      .job = job, .tag = tag, .route = "r", .host = "h", .path = "/b/x"};
+  for (int i = 0; i < items; ++i) {
+    accepted.items.push_back(
+        {.id = job + std::to_string(i), .tokens = 10, .body_parts = 1});
+  }
+  return {.key = JobKey(job, tag), .value = Encode(accepted)};
+}
+
+KeyedRecord Finished(const std::string& job,
+                     std::uint32_t item,
+                     const std::string& tag,
+                     const std::string& text) {
+  return {.key = FinishedKey(job, item, tag),
+          .value = Encode(records::BatchItemFinished{
+              .job = job, .item = item, .completed = true, .text = text})};
+}
+
+KeyedRecord Ended(const std::string& job, const std::string& tag) {
+  return {.key = EndedKey(job, tag),
+          .value = Encode(records::BatchJobEnded{.job = job})};
+}
+
+}  // namespace
+
+TEST_GROUP(BatchBoard_OneJob) {
+  BatchBoard board;
+  std::uint64_t offset = 0;
+
+  void Apply(KeyedRecord record) {
+    record.offset = this->offset++;
+    CHECK_TRUE(this->board.Apply(record).has_value());
+  }
+
+  void setup() override {
+    this->Apply(Body("j", "t1", 0, "body0"));
+    this->Apply(Body("j", "t1", 1, "body1"));
+    this->Apply(Job("j", "t1", 2));
+  }
+};
+
+// Guards against a second result of an item, by a host that had lost it, in
+// place of the first one that callers may have read.
+TEST(BatchBoard_OneJob, FirstResultOfAnItemStays) {
+  this->Apply(Finished("j", 1, "w1", "first"));
+  this->Apply(Finished("j", 0, "w1", "other"));
+  this->Apply(Finished("j", 1, "w2", "second"));
+  const BoardJob* job = this->board.Find("j");
+  CHECK_EQUAL(2U, job->listing.size());
+  CHECK_EQUAL(1U, job->listing[0]);
+  STRCMP_EQUAL("first", job->items[1].text.c_str());
+}
+
+// Guards against a job that is accepted twice and runs twice.
+TEST(BatchBoard_OneJob, SecondAcceptanceChangesNothing) {
+  this->Apply(Finished("j", 0, "w1", "text"));
+  this->Apply(Body("j", "t2", 0, "body0"));
+  this->Apply(Body("j", "t2", 1, "body1"));
+  this->Apply(Job("j", "t2", 2));
+  CHECK_EQUAL(1U, this->board.Find("j")->listing.size());
+  CHECK_EQUAL(10U, this->board.OpenTokens("r"));
+}
+
+// Guards against tokens of ended jobs that keep others out.
+TEST(BatchBoard_OneJob, EndedJobHasNoOpenTokens) {
+  CHECK_EQUAL(20U, this->board.OpenTokens("r"));
+  this->Apply(Ended("j", "e1"));
+  CHECK_EQUAL(0U, this->board.OpenTokens("r"));
+}
+
+// Guards against an item that fails on one host after the other without end,
+// and against a failure that counts twice because its record was sent again.
+TEST(BatchBoard_OneJob, FailuresOutliveTheHostAndCountOnce) {
+  const auto failed = [](const std::string& tag) {
+    return KeyedRecord{
+        .key = FailedKey("j", 0, tag),
+        .value = Encode(records::BatchItemFailed{.job = "j", .item = 0})};
+  };
+  this->Apply(failed("w1"));
+  this->Apply(failed("w1"));
+  this->Apply(failed("w2"));
+  BatchQueue queue;
+  const ItemReference item{.job = "j", .item = 0};
+  CHECK_EQUAL(2U, queue.FailureCount(this->board, item));
+  queue.Progress(item).failures = {FailedKey("j", 0, "w2"),
+                                   FailedKey("j", 0, "w3")};
+  CHECK_EQUAL(3U, queue.FailureCount(this->board, item));
+}
+
+// Guards against memory that grows with the bodies of finished items.
+TEST(BatchBoard_OneJob, BodyOfAFinishedItemIsDropped) {
+  STRCMP_EQUAL("body1", this->board.Find("j")->items[1].body.c_str());
+  this->Apply(Finished("j", 1, "w1", "text"));
+  CHECK_TRUE(this->board.Find("j")->items[1].body.empty());
+}
+
+// Guards against records of an expired job that stay behind.
+TEST(BatchBoard_OneJob, DroppedKeysForgetTheJob) {
+  for (const auto& key : this->board.KeysOf("j")) {
+    this->Apply({.key = key, .value = std::nullopt});
+  }
+  CHECK_TRUE(this->board.Find("j") == nullptr);
+  CHECK_TRUE(this->board.KeysOf("j").empty());
+}
+
+// Guards against a record that ends the process.
+TEST(BatchBoard_OneJob, MalformedRecordsAreErrors) {
+  CHECK_FALSE(this->board.Apply({.key = "x", .value = "v"}).has_value());
+  CHECK_FALSE(this->board.Apply({.key = "job/a/b", .value = "v"}).has_value());
+  CHECK_FALSE(this->board.Apply(Finished("unknown", 0, "w", "t")).has_value());
+  CHECK_FALSE(this->board.Apply(Finished("j", 9, "w", "t")).has_value());
+}
+
+TEST_GROUP(BatchBoard_AnyRecords){};
+
+// Guards against hosts that disagree: one that followed all records, and one
+// that started later from the newest record of each key.
+TEST(BatchBoard_AnyRecords, SnapshotGivesTheSameJobsAndPositions) {
+  CHECK(rc::check([] {
+    std::vector<KeyedRecord> log;
+    const auto add = [&log](KeyedRecord record) {
+      record.offset = log.size();
+      log.push_back(std::move(record));
+    };
+    std::uint64_t tag = 0;
+    const auto next_tag = [&tag] { return "w" + std::to_string(tag++); };
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int i = 0; i < steps; ++i) {
+      const std::string job = "j" + std::to_string(*rc::gen::inRange(0, 3));
+      const auto item = static_cast<std::uint32_t>(*rc::gen::inRange(0, 2));
+      const auto kind = *rc::gen::inRange(0, 4);
+      if (kind == 0) {
+        const std::string copy = next_tag();
+        add(Body(job, copy, 0, "b"));
+        add(Body(job, copy, 1, "b"));
+        add(Job(job, copy, 2));
+      } else if (kind == 3) {
+        add(Ended(job, next_tag()));
+      } else {
+        const std::string text = next_tag();
+        add(Finished(job, item, text, text));
+      }
+    }
+    BatchBoard follower;
+    for (const auto& record : log) {
+      (void)follower.Apply(record);
+    }
+    // Keys are unique, so the store has kept every record.
+    std::vector<KeyedRecord> newest = log;
+    std::sort(newest.begin(), newest.end(),
+              [](const auto& a, const auto& b) { return a.key < b.key; });
+    std::sort(newest.begin(), newest.end(),
+              [](const auto& a, const auto& b) { return a.offset < b.offset; });
+    BatchBoard late;
+    for (const auto& record : newest) {
+      (void)late.Apply(record);
+    }
+    RC_ASSERT(follower.jobs().size() == late.jobs().size());
+    for (const auto& [id, job] : follower.jobs()) {
+      const BoardJob* other = late.Find(id);
+      RC_ASSERT(other->listing == job.listing);
+      RC_ASSERT(other->is_ended == job.is_ended);
+      for (std::size_t i = 0; i < job.items.size(); ++i) {
+        RC_ASSERT(other->items[i].text == job.items[i].text);
+      }
+    }
+  }));
+}
+
+TEST_GROUP(BatchQueue_TwoJobs) {
+  BatchBoard board;
+  BatchQueue queue;
+  RoutingConfig config{
+      .version = 1,
+      .routes = {{.name = "r",
+                  .host = "h",
+                  .prefix = "/b/",
+                  .kind = RequestKind::kBatch,
+                  .max_attempts = 3,
+                  .completion_target = std::chrono::seconds(18),
+                  .retention = std::chrono::seconds(60)}}};
+  TimePoint now{std::chrono::hours(1)};
+
+  void setup() override {
+    std::uint64_t offset = 0;
+    for (const std::string job : {"late", "early"}) {
+      for (std::size_t i = 0; i < 2; ++i) {
+        auto body = Body(job, "t", i, "b");
+        body.offset = offset++;
+        CHECK_TRUE(this->board.Apply(body).has_value());
+      }
+      records::BatchJobAccepted accepted{
+          .job = job,
+          .tag = "t",
+          .route = "r",
+          .host = "h",
+          .path = "/b/x",
+          .submitted_ms = job == "early" ? 1000 : 2000,
+          .items = {{.id = job + "0", .body_parts = 1},
+                    {.id = job + "1", .body_parts = 1}}};
+      CHECK_TRUE(this->board
+                     .Apply({.key = JobKey(job, "t"),
+                             .value = Encode(accepted),
+                             .offset = offset++})
+                     .has_value());
+    }
+    this->queue.SetPartitions({0}, 1);
+  }
+};
+
+// Guards against work that is due later going first.
+TEST(BatchQueue_TwoJobs, ItemOfTheJobThatIsDueFirstGoesNext) {
+  const auto item = this->queue.Next(this->board, this->config, this->now);
+  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
+}
+
+// Guards against two runs of one item on this host, and against a busy loop on
+// an item that has just failed.
+TEST(BatchQueue_TwoJobs, RunningFinishedAndWaitingItemsArePassedOver) {
+  this->queue.SetRunning({.job = "early", .item = 0}, true);
+  this->queue.SetFinished({.job = "early", .item = 1});
+  auto item = this->queue.Next(this->board, this->config, this->now);
+  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
+  this->queue.Progress({.job = "late", .item = 0}).not_before =
+      this->now + std::chrono::seconds(1);
+  item = this->queue.Next(this->board, this->config, this->now);
+  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 1}));
+}
+
+// Guards against running jobs that the store has dealt to another host.
+TEST(BatchQueue_TwoJobs, JobsOfOtherPartitionsAreNotRun) {
+  this->queue.SetPartitions({}, 1);
+  CHECK_FALSE(
+      this->queue.Next(this->board, this->config, this->now).has_value());
+}
+
+// Guards against items that stay open for ever, and against giving them up
+// before the operator's retention.
+TEST(BatchQueue_TwoJobs, ItemsAreOverdueAfterTheRetention) {
+  CHECK_TRUE(this->queue.Overdue(this->board, this->config, 61000).empty());
+  CHECK_EQUAL(2U, this->queue.Overdue(this->board, this->config, 61001).size());
+  CHECK_EQUAL(4U, this->queue.Overdue(this->board, this->config, 62001).size());
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibServing/event_stream_test.cc
@@ -0,0 +1,55 @@
+#include "LibServing/event_stream.h"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+namespace crocus {
+
+TEST_GROUP(EventStream_AnyPieces){};
+
+// Guards against events that are lost, joined or changed where the network
+// cuts the stream into pieces.
+TEST(EventStream_AnyPieces, EventsAreTheSameForAnyCuts) {
+  CHECK(rc::check([] {
+    std::string stream;
+    const int count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+      stream += "id: " + std::to_string(i) + "\ndata: d" + std::to_string(i) +
+                (i % 3 == 0 ? "\r\n\r\n" : "\n\n");
+    }
+    EventStream events;
+    std::string joined;
+    std::uint64_t next = 0;
+    for (std::size_t at = 0; at < stream.size();) {
+      const auto length = *rc::gen::inRange<std::size_t>(1, 9);
+      for (const auto& event :
+           events.Feed(std::string_view(stream).substr(at, length))) {
+        RC_ASSERT(event.id == next);
+        RC_ASSERT(event.data == "d" + std::to_string(next));
+        joined += event.bytes;
+        ++next;
+      }
+      at += length;
+    }
+    RC_ASSERT(next == static_cast<std::uint64_t>(count));
+    RC_ASSERT(joined + events.rest() == stream);
+  }));
+}
+
+// Guards against passing on the beginning of an event that was cut off.
+TEST(EventStream_AnyPieces, CutEventStaysInTheRest) {
+  EventStream events;
+  CHECK_EQUAL(1U, events.Feed("id: 4\ndata: a\n\nid: 5\nda").size());
+  STRCMP_EQUAL("id: 5\nda", events.rest().c_str());
+}
+
+// Guards against taking a leading line for data.
+TEST(EventStream_AnyPieces, OtherLinesAreKeptInTheBytesOnly) {
+  EventStream events;
+  const auto found = events.Feed("weights: 3\nid: 1\ndata: a\ndata: b\n\n");
+  CHECK_EQUAL(1U, found.size());
+  STRCMP_EQUAL("a\nb", found[0].data.c_str());
+  CHECK_TRUE(found[0].bytes.rfind("weights", 0) == 0);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/LibServing/placement_test.cc
@@ -0,0 +1,157 @@
+#include "LibServing/placement.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "LibServing/attempt_policy.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_GROUP(Placement_ThreeZones) {
+  ReplicaDirectory directory;
+  ReplicaLoads loads;
+  Placement placement{{.host = "host",
+                       .availability_zone = "z1",
+                       .region = "r1",
+                       .regions = {{"z1", "r1"}, {"z2", "r1"}, {"z3", "r2"}}},
+                      this->directory,
+                      this->loads,
+                      1};
+
+  void setup() override {
+    for (const std::string zone : {"z1", "z2", "z3"}) {
+      this->directory.Update({.id = zone,
+                              .endpoint = "model",
+                              .availability_zone = zone,
+                              .slots = 4});
+    }
+  }
+
+  void Fill(const std::string& replica, WorkClass work, int count) {
+    for (int i = 0; i < count; ++i) {
+      this->loads.OnSent(replica, work);
+    }
+  }
+
+  std::string Online(const std::set<std::string>& tried = {}) {
+    const auto choice = this->placement.ChooseOnline("model", tried, kStart);
+    return choice ? choice->replica : "";
+  }
+};
+
+// Guards against paying for bytes between zones while the own zone has room.
+TEST(Placement_ThreeZones, FreeReplicaOfTheOwnZoneIsChosen) {
+  this->Fill("z1", WorkClass::kOnline, 3);
+  STRCMP_EQUAL("z1", this->Online().c_str());
+}
+
+// Guards against queueing in the own zone while another one is idle.
+TEST(Placement_ThreeZones, FullZoneIsLeftForTheNextOne) {
+  this->Fill("z1", WorkClass::kOnline, 4);
+  STRCMP_EQUAL("z2", this->Online().c_str());
+  this->Fill("z2", WorkClass::kOnline, 4);
+  STRCMP_EQUAL("z3", this->Online().c_str());
+}
+
+// Guards against hosts that do not see each other's requests.
+TEST(Placement_ThreeZones, LoadOfPeersCountsUntilItIsOld) {
+  this->loads.OnPeerReport("peer", {{"z1", {.online = 4}}}, kStart);
+  STRCMP_EQUAL("z2", this->Online().c_str());
+  const auto later = this->placement.ChooseOnline(
+      "model", {}, kStart + std::chrono::seconds(2));
+  STRCMP_EQUAL("z1", later->replica.c_str());
+}
+
+// Guards against sending requests to replicas that cannot be reached, and
+// against having none when all of them are paused.
+TEST(Placement_ThreeZones, PausedReplicaIsAvoidedUnlessAllArePaused) {
+  this->loads.OnUnreachable("z1", kStart);
+  STRCMP_EQUAL("z2", this->Online().c_str());
+  this->loads.OnUnreachable("z2", kStart);
+  this->loads.OnUnreachable("z3", kStart);
+  STRCMP_EQUAL("z1", this->Online().c_str());
+}
+
+// Guards against trying the replica again that has just failed.
+TEST(Placement_ThreeZones, TriedReplicasAreNotChosenAgain) {
+  STRCMP_EQUAL("z2", this->Online({"z1"}).c_str());
+  STRCMP_EQUAL("", this->Online({"z1", "z2", "z3"}).c_str());
+}
+
+// Guards against batch work taking the slots of online arrivals.
+TEST(Placement_ThreeZones, BatchLeavesTheReserveFree) {
+  this->Fill("z1", WorkClass::kOnline, 2);
+  this->Fill("z2", WorkClass::kBatch, 2);
+  STRCMP_EQUAL(
+      "z3", this->placement.ChooseBatch("model", {}, kStart)->replica.c_str());
+  this->Fill("z3", WorkClass::kBatch, 2);
+  CHECK_FALSE(this->placement.ChooseBatch("model", {}, kStart).has_value());
+}
+
+// Guards against callers that wait for an answer that is late anyway, in a
+// burst that fills every queue.
+TEST(Placement_ThreeZones, BurstAboveCapacityIsRefusedAtOnceWithAReturnTime) {
+  constexpr Duration kTarget = std::chrono::milliseconds(300);
+  int admitted = 0;
+  AdmissionAnswer answer;
+  for (int i = 0; i < 200; ++i) {
+    const auto choice = this->placement.ChooseOnline("model", {}, kStart);
+    answer = Admit(*choice, kTarget);
+    if (!answer.is_admitted) {
+      break;
+    }
+    this->loads.OnSent(choice->replica, WorkClass::kOnline);
+    ++admitted;
+  }
+  // The twelve slots turn over once in the initial service time of 300 ms.
+  CHECK_EQUAL(24, admitted);
+  CHECK_FALSE(answer.is_admitted);
+  CHECK_TRUE(answer.retry_after >= std::chrono::milliseconds(250));
+}
+
+TEST_GROUP(AttemptPolicy_AllKinds){};
+
+// Guards against a second run of what may run once only.
+TEST(AttemptPolicy_AllKinds, OnceOnlyRequestIsNotRepeatedAfterItMayHaveRun) {
+  const AttemptHistory history{.max_attempts = 3, .runs = 1};
+  CHECK_TRUE(NextStepAfter(history, Verdict::kMayHaveRun) == NextStep::kFail);
+}
+
+// Guards against a refusal that is not true.
+TEST(AttemptPolicy_AllKinds, RefusalAfterARunIsNotCalledNotRun) {
+  const AttemptHistory history{
+      .is_repeatable = true, .max_attempts = 9, .runs = 1, .refusals = 9};
+  CHECK_TRUE(NextStepAfter(history, Verdict::kNotRun) == NextStep::kFail);
+}
+
+// Guards against more runs than the route allows.
+TEST(AttemptPolicy_AllKinds, RunsStayWithinTheAttemptsOfTheRoute) {
+  AttemptHistory history{.is_repeatable = true, .max_attempts = 2, .runs = 1};
+  CHECK_TRUE(NextStepAfter(history, Verdict::kMayHaveRun) == NextStep::kRetry);
+  history.runs = 2;
+  CHECK_TRUE(NextStepAfter(history, Verdict::kMayHaveRun) == NextStep::kFail);
+}
+
+// Guards against a stream that ends as whole although it broke off.
+TEST(AttemptPolicy_AllKinds, BegunStreamIsResumedOrBrokenOff) {
+  AttemptHistory history{.is_repeatable = true,
+                         .max_attempts = 2,
+                         .runs = 1,
+                         .has_response_begun = true};
+  CHECK_TRUE(NextStepAfter(history, Verdict::kMayHaveRun) == NextStep::kResume);
+  history.is_repeatable = false;
+  CHECK_TRUE(NextStepAfter(history, Verdict::kMayHaveRun) == NextStep::kBreak);
+}
+
+// Guards against sending a request from replica to replica while all are full.
+TEST(AttemptPolicy_AllKinds, ManyFullReplicasEndInARefusal) {
+  const AttemptHistory history{.max_attempts = 1, .refusals = 4};
+  CHECK_TRUE(NextStepAfter(history, Verdict::kNotRun) == NextStep::kRefuse);
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/Platform/decoders_test.cc
@@ -0,0 +1,200 @@
+#include <CppUTest/TestHarness.h>
+
+#include "platform/batch_wire.h"
+#include "platform/config_decoder.h"
+#include "platform/replica_decoder.h"
+#include "platform/request_headers.h"
+#include "platform/store_codec.h"
+
+namespace crocus::platform {
+
+TEST_GROUP(ConfigDecoder_PublishedExample) {
+  const Result<RoutingConfig> config = DecodeConfig(
+      R"({"version":7,"routes":[)"
+      R"({"name":"r1","host":"f.example","path_prefix":"/p/",)"
+      R"("route_kind":"streaming","timeout_ms":5000,"latency_target_ms":300,)"
+      R"("priority":0,"service":"s1","max_attempts":2,"sticky":true,)"
+      R"("resumable":true,"gap_target_ms":500},)"
+      R"({"name":"r2","host":"f.example","path_prefix":"/q/",)"
+      R"("route_kind":"batch","split":[{"service":"s1","weight":90},)"
+      R"({"service":"s2","weight":10}],"completion_target_ms":18000,)"
+      R"("retention_s":60,"max_count":1500000}],)"
+      R"("services":[{"name":"s1","health_path":"/h","max_conns":360,)"
+      R"("engine":{"slots":8,"kv_capacity_tokens":72000}}],)"
+      R"("limits":{"header_bytes":1000,"body_bytes":2000,"header_ms":3000,)"
+      R"("idle_ms":15000}})");
+};
+
+// Guards against a name of the platform that is taken for something else.
+TEST(ConfigDecoder_PublishedExample, FieldsHaveTheirMeaning) {
+  CHECK_TRUE(this->config.has_value());
+  const Route& stream = this->config->routes[0];
+  CHECK_TRUE(stream.kind == RequestKind::kStream);
+  CHECK_TRUE(stream.is_resumable && stream.is_generation);
+  CHECK_TRUE(stream.timeout == std::chrono::seconds(5));
+  CHECK_TRUE(stream.gap_target == std::chrono::milliseconds(500));
+  const Route& batch = this->config->routes[1];
+  CHECK_TRUE(batch.kind == RequestKind::kBatch);
+  CHECK_EQUAL(2U, batch.shares.size());
+  CHECK_EQUAL(1500000U, batch.waiting_token_limit);
+  CHECK_TRUE(batch.retention == std::chrono::seconds(60));
+  CHECK_EQUAL(8U, this->config->FindEndpoint("s1")->engine_slots);
+  CHECK_EQUAL(1000U, this->config->limits.header_bytes);
+}
+
+TEST_GROUP(ConfigDecoder_BadInput){};
+
+// Guards against a configuration that ends the process.
+TEST(ConfigDecoder_BadInput, MalformedConfigurationIsAnError) {
+  for (const std::string text :
+       {"", "null", "[]", "{\"version\":1}",
+        R"({"version":1,"routes":[{}],"services":[]})",
+        R"({"version":"x","routes":[],"services":[]})"}) {
+    CHECK_FALSE(DecodeConfig(text).has_value());
+  }
+}
+
+TEST_GROUP(ReplicaDecoder_OtherWriters){};
+
+// Guards against using entries that name no replica.
+TEST(ReplicaDecoder_OtherWriters, UnreadableEntriesAreErrors) {
+  const std::string good =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":8,)"
+      R"("state":"ready","born":1700000000000})";
+  const auto record = DecodeReplica("i", good);
+  CHECK_TRUE(record.has_value());
+  CHECK_EQUAL(1700000000000, record->started_ms);
+  for (
+      const std::string text :
+      {"", "7", R"({"service":"s"})",
+       R"({"service":"s","address":7,"zone":"z","slots":8,"state":"ready"})",
+       R"({"service":"s","address":"a","zone":"z","slots":8,"state":"busy"})",
+       R"({"service":"s","address":"a","zone":"z","slots":0,"state":"ready"})"}) {
+    CHECK_FALSE(DecodeReplica("i", text).has_value());
+  }
+}
+
+TEST_GROUP(RequestHeaders_ForwardedRequest) {
+  RequestHead head{.method = "POST", .target = "/a/b?c=1"};
+
+  void setup() override {
+    this->head.fields.Add("Host", "h");
+    this->head.fields.Add("Connection", "keep-alive, X-Hop");
+    this->head.fields.Add("X-Hop", "1");
+    this->head.fields.Add("X-End", "2");
+    this->head.fields.Add("X-Crocussaddle-Attempt-Id", "abc");
+    this->head.fields.Add("X-Crocussaddle-Deadline-Ms", "5000");
+    this->head.fields.Add("X-Crocussaddle-Token-Count", "1460, 80");
+    this->head.fields.Add("X-Crocussaddle-Prompt-Prefix", "5c:800,91:410");
+  }
+};
+
+// Guards against a deadline longer than the caller's, and against fields that
+// concern one connection being passed on.
+TEST(RequestHeaders_ForwardedRequest, HeadCarriesWhatIsLeftAndTheReplica) {
+  const auto forwarded =
+      ForwardedHead(this->head, {.replica_id = "i-1",
+                                 .time_left = std::chrono::milliseconds(1234),
+                                 .resume_after = 9});
+  const auto value = [&forwarded](std::string_view name) {
+    return std::string(forwarded.fields.Find(name).value_or("none"));
+  };
+  STRCMP_EQUAL("1234", value("X-Crocussaddle-Deadline-Ms").c_str());
+  STRCMP_EQUAL("i-1", value("X-Crocussaddle-Expect-Instance").c_str());
+  STRCMP_EQUAL("9", value("Last-Event-Id").c_str());
+  STRCMP_EQUAL("abc", value("X-Crocussaddle-Attempt-Id").c_str());
+  STRCMP_EQUAL("2", value("X-End").c_str());
+  STRCMP_EQUAL("none", value("X-Hop").c_str());
+  STRCMP_EQUAL("none", value("Connection").c_str());
+  STRCMP_EQUAL("/a/b?c=1", forwarded.target.c_str());
+}
+
+// Guards against misread sizes of requests.
+TEST(RequestHeaders_ForwardedRequest, FactsAreDecoded) {
+  const auto facts = DecodeRequest(this->head.fields);
+  CHECK_EQUAL(1460U, facts.prompt_tokens);
+  CHECK_EQUAL(80U, facts.output_token_limit);
+  CHECK_EQUAL(2U, facts.prompt_parts.size());
+  CHECK_TRUE(facts.patience == std::chrono::seconds(5));
+}
+
+// Guards against taking the answer to another request.
+TEST(RequestHeaders_ForwardedRequest, AnswerToAnotherRequestIsStray) {
+  ResponseHead response{.status = 200};
+  response.fields.Add("X-Crocussaddle-Attempt-Id", "other");
+  CHECK_TRUE(DecodeAnswer(response, "abc").is_stray);
+  response.fields.Set("X-Crocussaddle-Attempt-Id", "abc");
+  CHECK_FALSE(DecodeAnswer(response, "abc").is_stray);
+  CHECK_FALSE(DecodeAnswer(response, "abc").is_sealed);
+  response.status = 421;
+  CHECK_TRUE(DecodeAnswer(response, "abc").is_not_run);
+}
+
+TEST_GROUP(StoreCodec_KeyedTopic){};
+
+// Guards against records that are framed otherwise than the store reads them.
+TEST(StoreCodec_KeyedTopic, AppendIsFramedByLengths) {
+  const std::string bytes =
+      EncodeAppend({{.key = "ab", .value = "xyz"}, {.key = "c", .value = {}}});
+  const std::string expected(
+      "\0\0\0\6\2abxyz"
+      "\0\0\0\2\1c",
+      16);
+  CHECK_TRUE(bytes == expected);
+}
+
+// Guards against a page that is cut off being taken as whole.
+TEST(StoreCodec_KeyedTopic, PageGivesRecordsWithTheirOffsets) {
+  const std::string head("\0\0\0\0\0\0\0\x0c\0\0\0\0\0\0\0\1", 16);
+  const std::string body = head + EncodeAppend({{.key = "a", .value = "1"},
+                                                {.key = "b", .value = {}}});
+  const auto page = DecodePage(body, 10);
+  CHECK_TRUE(page.has_value());
+  CHECK_EQUAL(2U, page->records.size());
+  CHECK_EQUAL(11U, page->records[1].offset);
+  CHECK_FALSE(page->records[1].value.has_value());
+  CHECK_EQUAL(12U, page->next_offset);
+  CHECK_EQUAL(12U, page->end_offset);
+  CHECK_FALSE(DecodePage(body.substr(0, body.size() - 1), 10).has_value());
+  CHECK_FALSE(DecodePage("short", 10).has_value());
+}
+
+// Guards against values that are cut where base64 is padded.
+TEST(StoreCodec_KeyedTopic, Base64OfAnyLengthIsDecoded) {
+  STRCMP_EQUAL("a", DecodeBase64("YQ==")->c_str());
+  STRCMP_EQUAL("ab", DecodeBase64("YWI=")->c_str());
+  STRCMP_EQUAL("abc", DecodeBase64("YWJj")->c_str());
+  STRCMP_EQUAL("", DecodeBase64("")->c_str());
+  CHECK_FALSE(DecodeBase64("%%%%").has_value());
+}
+
+TEST_GROUP(BatchWire_Calls){};
+
+// Guards against calls on jobs that are taken for requests of a route.
+TEST(BatchWire_Calls, CallsAreToldFromRequests) {
+  RequestHead head{.method = "GET", .target = "/-/lots/7c?after=12"};
+  head.fields.Add("X-Crocussaddle-Poll-Wait-Ms", "1000");
+  const auto read = DecodeBatchCall(head);
+  CHECK_TRUE(read.has_value());
+  STRCMP_EQUAL("7c", read->job.c_str());
+  CHECK_EQUAL(12U, read->first_position);
+  CHECK_TRUE(read->wait == std::chrono::seconds(1));
+  head = {.method = "DELETE", .target = "/-/lots/7c"};
+  CHECK_TRUE(DecodeBatchCall(head)->kind == BatchCallKind::kEndJob);
+  head = {.method = "GET", .target = "/-/items/7c?id=e5"};
+  STRCMP_EQUAL("e5", DecodeBatchCall(head)->item.c_str());
+  head = {.method = "GET", .target = "/a/lots/7c"};
+  CHECK_FALSE(DecodeBatchCall(head).has_value());
+}
+
+// Guards against a submission that ends the process.
+TEST(BatchWire_Calls, MalformedSubmissionIsAnError) {
+  for (
+      const std::string body :
+      {"", "[]", "{}", R"({"items":[]})", R"({"items":[{"id":"a"}]})",
+       R"({"items":[{"id":"a","path":"/p","headers":{},"body":"%","tokens":1}]})"}) {
+    CHECK_FALSE(DecodeSubmission(body).has_value());
+  }
+}
+
+}  // namespace crocus::platform
--- /dev/null
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -0,0 +1,96 @@
+#ifndef TESTS_PLATFORM_STANDIN_GATEWAY_FLEET_H_
+#define TESTS_PLATFORM_STANDIN_GATEWAY_FLEET_H_
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+
+#include "LibAsyncHttp/http_fetch.h"
+#include "PlatformStandin/replica_standin.h"
+#include "PlatformStandin/store_standin.h"
+#include "Processes/process_fleet.h"
+
+namespace crocus {
+
+struct GatewayFleetOptions {
+  std::uint64_t seed = 1;
+  /// Tokens of the batch route that may wait; 0 is no limit.
+  std::uint64_t waiting_token_limit = 0;
+  std::uint32_t batch_retention_seconds = 60;
+  /// Longest time of a request, for all routes.
+  std::uint32_t timeout_milliseconds = 3000;
+};
+
+/// Gateways as processes before a store and replicas in the test's own event
+/// loop, with a configuration of one route of each kind.
+class GatewayFleet {
+ public:
+  explicit GatewayFleet(GatewayFleetOptions options = {});
+
+  /// Adds a replica of the endpoint "model" or "desk" and registers it.
+  ReplicaStandin& AddReplica(const std::string& endpoint,
+                             ReplicaStandinOptions options);
+  void RegisterReplica(const std::string& id,
+                       const std::string& endpoint,
+                       std::uint16_t port,
+                       const std::string& state);
+  void UnregisterReplica(const std::string& id);
+
+  /// Publishes the configuration under that version.
+  void PublishConfig(std::uint64_t version, const std::string& extra_path = "");
+
+  /// Starts a gateway and waits until it is ready, unless `store_port` is
+  /// another one than the store's own, such as that of a proxy.
+  void StartGateway(const std::string& name, std::uint16_t store_port = 0);
+  bool IsReady(const std::string& name);
+  std::uint16_t CallerPort(const std::string& name);
+
+  /// Sends a request and runs the event loop until the response is there.
+  Result<FetchedResponse> Send(const std::string& gateway,
+                               RequestHead head,
+                               const std::string& body = "",
+                               Duration limit = std::chrono::seconds(5));
+  /// A request to the route of that kind: "stream", "resumable", "plain",
+  /// "once" or "batch".
+  static RequestHead Head(const std::string& kind, const std::string& id);
+  /// Submits a batch job whose items have the given ids.
+  Result<FetchedResponse> Submit(const std::string& gateway,
+                                 const std::string& job,
+                                 const std::vector<std::string>& items);
+  /// A page of a job's results as JSON, or null with any status but 200.
+  nlohmann::json ReadResults(const std::string& gateway,
+                             const std::string& job,
+                             std::uint64_t after = 0);
+
+  /// Runs the event loop until the condition holds; false after the limit.
+  bool RunUntil(const std::function<bool()>& condition,
+                Duration limit = std::chrono::seconds(10));
+  void RunFor(Duration time);
+
+  /// Runs of a request at all replicas together.
+  std::uint32_t RunsOf(const std::string& request) const;
+
+  boost::asio::io_context loop;
+  StoreStandin store;
+  ProcessFleet processes;
+  ConnectionPool pool;
+  std::vector<std::unique_ptr<ReplicaStandin>> replicas;
+
+ private:
+  const GatewayFleetOptions options;
+};
+
+/// The body of a whole stream, as the stand-in makes it.
+std::string ExpectedStream(const std::string& request);
+/// The text of a whole batch item.
+std::string ExpectedText(const std::string& item);
+
+}  // namespace crocus
+
+#endif  // TESTS_PLATFORM_STANDIN_GATEWAY_FLEET_H_
--- /dev/null
+++ b/Tests/PlatformStandin/replica_standin.cc
@@ -0,0 +1,194 @@
+#include "PlatformStandin/replica_standin.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+#include "LibAsyncHttp/http_text.h"
+#include "LibCore/assertions.h"
+#include "LibCore/hashing.h"
+#include "platform/names.h"
+
+namespace crocus {
+
+namespace {
+
+namespace header = platform::header;
+
+bool StartsWith(const std::string& text, std::string_view start) {
+  return text.rfind(start, 0) == 0;
+}
+
+}  // namespace
+
+struct ReplicaStandin::Run {
+  explicit Run(boost::asio::io_context& loop) : timer(loop) {}
+
+  std::shared_ptr<ServerSession> session;
+  std::string id;
+  boost::asio::steady_timer timer;
+  std::uint64_t next_event = 0;
+  bool has_begun = false;
+  bool has_left = false;
+  bool breaks = false;
+};
+
+std::string StandinEvent(const std::string& request, std::uint64_t index) {
+  return DigestOf(request + "/" + std::to_string(index)).substr(0, 12);
+}
+
+std::uint64_t StandinEventCount(const std::string& request) {
+  return 3 + HashBytes(request) % 20;
+}
+
+std::string StandinAnswer(const std::string& request) {
+  return DigestOf(request) + DigestOf("answer" + request);
+}
+
+ReplicaStandin::ReplicaStandin(boost::asio::io_context& loop,
+                               ReplicaStandinOptions options,
+                               std::uint64_t seed)
+    : loop(loop),
+      options(std::move(options)),
+      listener(
+          loop,
+          [] { return SessionLimits(); },
+          [this](const auto& session, const auto& request) {
+            this->Handle(session, request);
+          }),
+      random(seed) {}
+
+void ReplicaStandin::Start() {
+  VERIFY(
+      this->listener.Listen({boost::asio::ip::make_address("127.0.0.1"), 0}));
+}
+
+void ReplicaStandin::Handle(const std::shared_ptr<ServerSession>& session,
+                            const Request& request) {
+  const auto& fields = request.head.fields;
+  const std::string id(fields.Find(header::kAttemptId).value_or(""));
+  HeaderFields refusal;
+  refusal.Add(std::string(header::kNotExecuted), "1");
+  refusal.Add(std::string(header::kAttemptId), id);
+  if (fields.Find(header::kExpectInstance).value_or("") != this->options.id) {
+    session->Respond(421, refusal, "");
+    return;
+  }
+  if (this->waiting.size() >= this->options.queue) {
+    session->Respond(503, refusal, "");
+    return;
+  }
+  auto run = std::make_shared<Run>(this->loop);
+  run->session = session;
+  run->id = id;
+  if (const auto last = fields.Find(header::kLastEventId)) {
+    run->next_event =
+        std::strtoull(std::string(*last).c_str(), nullptr, 10) + 1;
+  }
+  session->set_caller_left([this, run] {
+    run->has_left = true;
+    if (run->has_begun) {
+      this->End(run);
+    }
+  });
+  this->waiting.push_back(std::move(run));
+  this->StartWaiting();
+}
+
+void ReplicaStandin::StartWaiting() {
+  while (!this->waiting.empty() && this->running_count < this->options.slots) {
+    const auto run = this->waiting.front();
+    this->waiting.pop_front();
+    if (!run->has_left) {
+      this->Begin(run);
+    }
+  }
+}
+
+void ReplicaStandin::Begin(const std::shared_ptr<Run>& run) {
+  run->has_begun = true;
+  ++this->running_count;
+  ++this->run_counts[run->id];
+  if (this->faults.is_mute) {
+    return;
+  }
+  if (this->random.Chance(this->faults.lost_answers)) {
+    run->session->Abort();
+    this->End(run);
+    return;
+  }
+  HeaderFields fields;
+  fields.Add(std::string(header::kAttemptId), run->id);
+  fields.Add(std::string(header::kServerLoad),
+             std::to_string(this->running_count) + "," +
+                 std::to_string(this->waiting.size()) + "," +
+                 std::to_string(this->options.slots));
+  if (StartsWith(run->id, "poison") ||
+      this->random.Chance(this->faults.errors)) {
+    run->session->Respond(500, fields, "");
+    this->End(run);
+    return;
+  }
+  if (!this->random.Chance(this->faults.unsealed)) {
+    fields.Add(std::string(header::kSeal), DigestOf(run->id));
+  }
+  if (StartsWith(run->id, "plain")) {
+    const bool is_repeated = this->random.Chance(this->faults.repeats);
+    const std::string body = StandinAnswer(run->id);
+    run->session->StartResponse(200, "OK", fields, body.size());
+    run->session->SendBody(body);
+    if (is_repeated) {
+      // A second answer to the same request follows the first one.
+      fields.Set("Content-Length", std::to_string(body.size()));
+      run->session->SendBody(ResponseHeadText(200, "OK", fields) + body);
+    }
+    run->session->FinishResponse();
+    this->End(run);
+    return;
+  }
+  run->breaks = this->random.Chance(this->faults.breaks);
+  fields.Add("Content-Type", "text/event-stream");
+  run->session->StartResponse(200, "OK", fields, std::nullopt);
+  this->SendEvent(run);
+}
+
+void ReplicaStandin::SendEvent(const std::shared_ptr<Run>& run) {
+  if (run->has_left) {
+    return;
+  }
+  const std::uint64_t count = StandinEventCount(run->id);
+  if (run->next_event >= count) {
+    run->session->FinishResponse();
+    this->End(run);
+    return;
+  }
+  if (run->breaks && run->next_event > count / 2) {
+    // Breaks off in the middle of an event.
+    run->session->SendBody("id: " + std::to_string(run->next_event) + "\nda");
+    run->session->Abort();
+    this->End(run);
+    return;
+  }
+  run->session->SendBody("id: " + std::to_string(run->next_event) + "\ndata: " +
+                         StandinEvent(run->id, run->next_event) + "\n\n");
+  ++run->next_event;
+  run->timer.expires_after(this->options.event_time);
+  run->timer.async_wait([this, run](const auto& error) {
+    if (!error) {
+      this->SendEvent(run);
+    }
+  });
+}
+
+void ReplicaStandin::End(const std::shared_ptr<Run>& run) {
+  if (!run->has_begun) {
+    return;
+  }
+  run->has_begun = false;
+  run->has_left = true;
+  VERIFY(this->running_count > 0);
+  --this->running_count;
+  this->StartWaiting();
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/PlatformStandin/replica_standin.h
@@ -0,0 +1,94 @@
+#ifndef TESTS_PLATFORM_STANDIN_REPLICA_STANDIN_H_
+#define TESTS_PLATFORM_STANDIN_REPLICA_STANDIN_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibAsyncHttp/http_listener.h"
+#include "LibCore/random.h"
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// What a replica does wrong. Shares are of the requests that it runs.
+struct ReplicaFaults {
+  /// Streams that break off.
+  double breaks = 0;
+  /// Requests that run and get no answer.
+  double lost_answers = 0;
+  /// Answers that come a second time.
+  double repeats = 0;
+  /// Requests that are answered with 500.
+  double errors = 0;
+  /// Successes without the replica's seal.
+  double unsealed = 0;
+  /// Requests are taken and never answered.
+  bool is_mute = false;
+};
+
+struct ReplicaStandinOptions {
+  std::string id;
+  std::uint32_t slots = 4;
+  /// Requests that may wait for a slot.
+  std::uint32_t queue = 8;
+  Duration event_time = std::chrono::milliseconds(4);
+};
+
+/// The data of event `index` of the answer to a request. Tests tell a whole
+/// answer from a mixed one by it.
+std::string StandinEvent(const std::string& request, std::uint64_t index);
+/// Number of events of the answer to a request.
+std::uint64_t StandinEventCount(const std::string& request);
+/// The answer of a plain service to a request.
+std::string StandinAnswer(const std::string& request);
+
+/// A stand-in for a replica. Requests whose id begins with "plain" get an
+/// answer of known length, those with "poison" fail, and all others stream.
+class ReplicaStandin {
+ public:
+  ReplicaStandin(boost::asio::io_context& loop,
+                 ReplicaStandinOptions options,
+                 std::uint64_t seed);
+
+  void Start();
+  std::uint16_t port() const { return this->listener.port(); }
+  const std::string& id() const { return this->options.id; }
+
+  void set_faults(const ReplicaFaults& faults) { this->faults = faults; }
+
+  /// How often each request was run.
+  const std::map<std::string, std::uint32_t>& runs() const {
+    return this->run_counts;
+  }
+  /// Requests that run now.
+  std::uint32_t running() const { return this->running_count; }
+
+ private:
+  struct Run;
+
+  void Handle(const std::shared_ptr<ServerSession>& session,
+              const Request& request);
+  void StartWaiting();
+  void Begin(const std::shared_ptr<Run>& run);
+  void SendEvent(const std::shared_ptr<Run>& run);
+  void End(const std::shared_ptr<Run>& run);
+
+  boost::asio::io_context& loop;
+  const ReplicaStandinOptions options;
+  HttpListener listener;
+  Random random;
+  ReplicaFaults faults;
+  std::deque<std::shared_ptr<Run>> waiting;
+  std::uint32_t running_count = 0;
+  std::map<std::string, std::uint32_t> run_counts;
+};
+
+}  // namespace crocus
+
+#endif  // TESTS_PLATFORM_STANDIN_REPLICA_STANDIN_H_
--- /dev/null
+++ b/Tests/PlatformStandin/store_standin.h
@@ -0,0 +1,107 @@
+#ifndef TESTS_PLATFORM_STANDIN_STORE_STANDIN_H_
+#define TESTS_PLATFORM_STANDIN_STORE_STANDIN_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibAsyncHttp/http_listener.h"
+#include "LibCore/random.h"
+#include "LibCore/time.h"
+#include "LibServing/keyed_record.h"
+
+namespace crocus {
+
+/// What the store does wrong.
+struct StoreFaults {
+  /// Every call is answered with this status, if it is not 0.
+  std::uint32_t refusal = 0;
+  /// No call is answered.
+  bool is_silent = false;
+  Duration delay{};
+  /// Share of the appends that are done and whose answer is lost.
+  double lost_answers = 0;
+};
+
+/// A stand-in for the platform's metadata store: keyed topics with one
+/// partition, and groups. Runs in the test's event loop.
+class StoreStandin {
+ public:
+  StoreStandin(boost::asio::io_context& loop, std::uint64_t seed);
+
+  /// Listens on a port of the kernel's choice.
+  void Start();
+  std::uint16_t port() const { return this->listener.port(); }
+
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::optional<std::string>& value);
+  /// Deletes all records but the newest of each key.
+  void Compact(const std::string& topic);
+  /// Deals all partitions anew.
+  void Rebalance();
+
+  void set_faults(const StoreFaults& faults) { this->faults = faults; }
+  std::uint64_t appends() const { return this->append_count; }
+  /// The newest records of a topic, in the order of their offsets.
+  std::vector<KeyedRecord> Newest(const std::string& topic) const;
+
+ private:
+  struct Topic {
+    std::vector<KeyedRecord> records;
+    std::uint64_t first_offset = 0;
+    std::uint64_t end_offset = 0;
+    std::map<std::string, KeyedRecord> newest;
+  };
+  struct Member {
+    TimePoint expires{};
+    std::set<std::uint32_t> partitions;
+  };
+  struct WaitingRead {
+    std::shared_ptr<ServerSession> session;
+    std::string topic;
+    std::uint64_t offset = 0;
+    TimePoint deadline{};
+  };
+
+  void Handle(const std::shared_ptr<ServerSession>& session,
+              const Request& request);
+  void Dispatch(const std::shared_ptr<ServerSession>& session,
+                const Request& request);
+  void Append(const std::shared_ptr<ServerSession>& session,
+              const Request& request);
+  void Read(const std::shared_ptr<ServerSession>& session,
+            const Request& request);
+  void ReadNewest(const std::shared_ptr<ServerSession>& session,
+                  const Request& request);
+  void Join(const std::shared_ptr<ServerSession>& session,
+            const Request& request);
+  void AnswerRead(const WaitingRead& read);
+  void AnswerWaiting();
+  void Deal();
+  void Tick();
+  void AddRecord(const std::string& topic, KeyedRecord record);
+
+  boost::asio::io_context& loop;
+  HttpListener listener;
+  boost::asio::steady_timer timer;
+  Random random;
+  StoreFaults faults;
+  std::map<std::string, Topic> topics;
+  std::map<std::string, Member> members;
+  std::uint64_t generation = 1;
+  std::list<WaitingRead> waiting;
+  std::uint64_t append_count = 0;
+};
+
+}  // namespace crocus
+
+#endif  // TESTS_PLATFORM_STANDIN_STORE_STANDIN_H_
