Finish batch items after a hand-over and record their progress

Change: hosts report the items that they run; a new owner leaves those alone. A stopping host finishes its items and records what is left 1.5 s before SIGKILL; progress is recorded every 2 s, and the next run goes on from there. Ruled out: claims in the store for each start (a call for each item).

--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -565,12 +565,14 @@
   /// Goes up with each report of a sender; older ones are dropped.
   std::uint64_t sequence{0};
   std::vector<ReplicaOutstanding> replicas{};
+  /// Hashes of the batch items that the sender runs.
+  std::vector<std::uint64_t> items{};
 
   bool operator==(const OutstandingReport&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, sequence, replicas);
+    archive(sender, sequence, replicas, items);
   }
 };
 
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -44,6 +44,7 @@
   kBatchItemFinished = 61,
   kBatchJobEnded = 62,
   kBatchItemFailed = 63,
+  kBatchItemProgress = 64,
 };
 
 /// True if this version defines the type.
@@ -73,6 +74,7 @@
     case RecordType::kBatchItemFinished:
     case RecordType::kBatchJobEnded:
     case RecordType::kBatchItemFailed:
+    case RecordType::kBatchItemProgress:
       return true;
   }
   return false;
@@ -688,6 +690,28 @@
   }
 };
 
+/// What the runs of an item have brought so far. Each writer has one such
+/// record of an item.
+struct BatchItemProgress {
+  static constexpr RecordType kType = RecordType::kBatchItemProgress;
+
+  std::string job{};
+  /// Position of the item in its job.
+  std::uint32_t item{0};
+  /// Number of the last event.
+  std::uint64_t last_event{0};
+  std::uint64_t events{0};
+  /// Data of the events, separated by line feeds.
+  std::string text{};
+
+  bool operator==(const BatchItemProgress&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(job, item, last_event, events, text);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibServing/batch_board.cc
+++ b/Libraries/LibServing/batch_board.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view kBodyKind = "body";
 constexpr std::string_view kFinishedKind = "done";
 constexpr std::string_view kFailedKind = "fail";
+constexpr std::string_view kProgressKind = "part";
 constexpr std::string_view kEndedKind = "end";
 
 std::string MakeKey(std::string_view kind,
@@ -47,6 +48,12 @@
   return MakeKey(kFailedKind, job, std::to_string(item) + "/" + tag);
 }
 
+std::string ProgressKey(const std::string& job,
+                        std::size_t item,
+                        const std::string& writer) {
+  return MakeKey(kProgressKind, job, std::to_string(item) + "/" + writer);
+}
+
 std::string EndedKey(const std::string& job, const std::string& tag) {
   return MakeKey(kEndedKind, job, tag);
 }
@@ -72,7 +79,7 @@
     this->keys.erase(job);
     return {};
   }
-  this->keys[job].push_back(record.key);
+  this->keys[job].insert(record.key);
   if (parts[0] == kBodyKind) {
     this->bodies[record.key] = *record.value;
     return {};
@@ -83,6 +90,9 @@
   if (parts[0] == kFinishedKind) {
     return this->FinishItem(record);
   }
+  if (parts[0] == kProgressKind) {
+    return this->NoteProgress(record);
+  }
   if (parts[0] == kFailedKind) {
     return this->CountFailure(record);
   }
@@ -131,10 +141,25 @@
       finished.completed ? ItemState::kCompleted : ItemState::kAbandoned;
   item.text = std::move(finished.text);
   item.body = std::string();
+  item.progress = {};
   found->second.listing.push_back(finished.item);
   return {};
 }
 
+Result<void> BatchBoard::NoteProgress(const KeyedRecord& record) {
+  TRY_ASSIGN(auto progress, Decode<records::BatchItemProgress>(*record.value));
+  const auto found = this->all.find(progress.job);
+  if (found == this->all.end() || progress.item >= found->second.items.size()) {
+    return Failure(ErrorCode::kCorrupt, "progress of an unknown item");
+  }
+  BoardItem& item = found->second.items[progress.item];
+  if (item.state == ItemState::kOpen &&
+      progress.events > item.progress.events) {
+    item.progress = std::move(progress);
+  }
+  return {};
+}
+
 Result<void> BatchBoard::CountFailure(const KeyedRecord& record) {
   TRY_ASSIGN(const auto failed,
              Decode<records::BatchItemFailed>(*record.value));
@@ -173,7 +198,10 @@
 
 std::vector<std::string> BatchBoard::KeysOf(const std::string& job) const {
   const auto found = this->keys.find(job);
-  return found == this->keys.end() ? std::vector<std::string>() : found->second;
+  return found == this->keys.end()
+             ? std::vector<std::string>()
+             : std::vector<std::string>(found->second.begin(),
+                                        found->second.end());
 }
 
 }  // namespace crocus
--- a/Libraries/LibServing/batch_board.h
+++ b/Libraries/LibServing/batch_board.h
@@ -24,6 +24,8 @@
   std::string text;
   /// Keys of the records of failed runs.
   std::set<std::string> failures;
+  /// The furthest progress of any run; kept while the item is open.
+  records::BatchItemProgress progress;
 };
 
 struct BoardJob {
@@ -57,13 +59,14 @@
  private:
   Result<void> AcceptJob(const KeyedRecord& record);
   Result<void> FinishItem(const KeyedRecord& record);
+  Result<void> NoteProgress(const KeyedRecord& record);
   Result<void> CountFailure(const KeyedRecord& record);
   Result<void> EndJob(const KeyedRecord& record);
 
   std::map<std::string, BoardJob> all;
   /// Bodies whose job record has not come yet, by key.
   std::map<std::string, std::string> bodies;
-  std::map<std::string, std::vector<std::string>> keys;
+  std::map<std::string, std::set<std::string>> keys;
 };
 
 /// Keys of the records. `tag` is unique for each append that is tried, so that
@@ -80,6 +83,11 @@
 std::string FailedKey(const std::string& job,
                       std::size_t item,
                       const std::string& tag);
+/// The same for each progress record of a writer, so that the store keeps the
+/// newest only.
+std::string ProgressKey(const std::string& job,
+                        std::size_t item,
+                        const std::string& writer);
 std::string EndedKey(const std::string& job, const std::string& tag);
 
 }  // namespace crocus
--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -35,6 +35,7 @@
 
 std::optional<ItemReference> BatchQueue::Next(const BatchBoard& board,
                                               const RoutingConfig& config,
+                                              const PeerItems& peers,
                                               TimePoint now) const {
   std::optional<ItemReference> best;
   std::int64_t best_due = std::numeric_limits<std::int64_t>::max();
@@ -58,7 +59,8 @@
     for (std::uint32_t i = 0; i < job.items.size(); ++i) {
       const ItemReference item{.job = id, .item = i};
       if (job.items[i].state != ItemState::kOpen ||
-          this->running.contains(item) || this->finished.contains(item)) {
+          this->running.contains(item) || this->finished.contains(item) ||
+          peers.IsRunning(item, now)) {
         continue;
       }
       if (const auto known = this->progress.find(item);
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -12,18 +12,11 @@
 
 #include "LibCore/time.h"
 #include "LibServing/batch_board.h"
+#include "LibServing/peer_items.h"
 #include "LibServing/routing_config.h"
 
 namespace crocus {
 
-/// An item of a job.
-struct ItemReference {
-  std::string job;
-  std::uint32_t item = 0;
-
-  auto operator<=>(const ItemReference&) const = default;
-};
-
 /// What runs of an item have brought so far.
 struct ItemProgress {
   /// Data of the events, separated by line feeds.
@@ -37,6 +30,9 @@
   std::set<std::string> avoided;
   TimePoint not_before{};
   TimePoint first_started{};
+  /// Events of the last progress record, and when it was written.
+  std::uint64_t recorded_events = 0;
+  TimePoint recorded{};
 };
 
 /// The open items of the jobs that this host runs, and which goes next. Not
@@ -51,9 +47,10 @@
 
   /// The item to start next: of the job that is due first, the first item in
   /// order. Items that run, that have their final state or that wait after a
-  /// failure are passed over.
+  /// failure are passed over, and those that another host runs.
   std::optional<ItemReference> Next(const BatchBoard& board,
                                     const RoutingConfig& config,
+                                    const PeerItems& peers,
                                     TimePoint now) const;
 
   /// Open items that may be given up: their job's retention has passed.
--- /dev/null
+++ b/Libraries/LibServing/peer_items.h
@@ -0,0 +1,47 @@
+#ifndef LIBSERVING_PEER_ITEMS_H_
+#define LIBSERVING_PEER_ITEMS_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// An item of a batch job.
+struct ItemReference {
+  std::string job;
+  std::uint32_t item = 0;
+
+  /// Names the item in the reports between hosts.
+  std::uint64_t Hash() const;
+
+  auto operator<=>(const ItemReference&) const = default;
+};
+
+/// The batch items that other hosts run, by their reports. A host that is dealt
+/// a job of another one leaves the items alone that still run there.
+class PeerItems {
+ public:
+  /// Replaces what the peer said before.
+  void OnReport(const std::string& peer,
+                std::set<std::uint64_t> items,
+                TimePoint now);
+
+  bool IsRunning(const ItemReference& item, TimePoint now) const;
+
+ private:
+  struct Report {
+    std::set<std::uint64_t> items;
+    TimePoint received{};
+  };
+
+  std::map<std::string, Report> reports;
+};
+
+}  // namespace crocus
+
+#endif  // LIBSERVING_PEER_ITEMS_H_
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -15,6 +15,9 @@
 /// A run without bytes for this long is ended and goes on elsewhere. It is
 /// above the longest wait in an engine's queue.
 constexpr Duration kSilenceLimit = std::chrono::seconds(4);
+/// A host that dies loses at most this much of the work on an item. Records
+/// cost bytes at the store and at each reader.
+constexpr Duration kRecordInterval = std::chrono::milliseconds(2000);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
 /// The replica was full; peers' reports of it come several times in this time.
 constexpr Duration kStoppedPause = std::chrono::milliseconds(300);
@@ -28,10 +31,12 @@
 
 BatchRunner::BatchRunner(ForwardingContext& context,
                          const BatchBoard& board,
+                         const PeerItems& peer_items,
                          BatchWriter& writer,
                          ConfigSource config)
     : context(context),
       board(board),
+      peer_items(peer_items),
       writer(writer),
       config(std::move(config)),
       timer(context.loop) {}
@@ -39,20 +44,28 @@
 void BatchRunner::Start() {
   this->timer.expires_after(kTickInterval);
   this->timer.async_wait([this](const auto& error) {
-    if (!error && !this->is_stopped) {
+    if (!error) {
       this->Tick();
       this->Start();
     }
   });
 }
 
-void BatchRunner::Stop() {
-  this->is_stopped = true;
-  this->timer.cancel();
+void BatchRunner::StopRuns() {
+  const TimePoint now = BootTimeNow();
   while (!this->runs.empty()) {
     const ItemReference item = this->runs.begin()->first;
     this->StopRun(item, "shutdown");
+    this->RecordProgressOf(item, now);
+  }
+}
+
+std::vector<std::uint64_t> BatchRunner::OwnItems() const {
+  std::vector<std::uint64_t> items;
+  for (const auto& [item, run] : this->runs) {
+    items.push_back(item.Hash());
   }
+  return items;
 }
 
 void BatchRunner::SetPartitions(std::set<std::uint32_t> partitions,
@@ -76,6 +89,7 @@
   }
   this->queue.Prune(this->board);
   this->GiveUpOverdueItems();
+  this->RecordProgress(now);
   this->ShedRuns();
   this->StartItems();
 }
@@ -115,8 +129,6 @@
     if (job == nullptr || job->is_ended ||
         job->items[item.item].state != ItemState::kOpen) {
       stopped.emplace_back(item, "ended");
-    } else if (!this->queue.IsOwn(item.job)) {
-      stopped.emplace_back(item, "moved to another host");
     } else if (auto found = excess.find(run.attempt->replica());
                found != excess.end() && found->second > 0) {
       --found->second;
@@ -130,12 +142,13 @@
 
 void BatchRunner::StartItems() {
   const auto current = this->config();
-  if (!current || this->is_stopped) {
+  if (!current || this->is_stopping) {
     return;
   }
   const TimePoint now = BootTimeNow();
   std::set<std::string> started;
-  while (const auto item = this->queue.Next(this->board, *current, now)) {
+  while (const auto item =
+             this->queue.Next(this->board, *current, this->peer_items, now)) {
     const BoardJob* job = this->board.Find(item->job);
     const Route* route = RouteOfJob(*current, job->record);
     const std::string endpoint = EndpointOfJob(*route, item->job);
@@ -160,6 +173,7 @@
                             const PlacementChoice& choice) {
   const BoardJob* job = this->board.Find(item.job);
   const BoardItem& spec = job->items[item.item];
+  this->AdoptProgress(item);
   auto& progress = this->queue.Progress(item);
   ++progress.attempts;
   const TimePoint now = BootTimeNow();
@@ -197,6 +211,42 @@
   attempt->Start();
 }
 
+void BatchRunner::AdoptProgress(const ItemReference& item) {
+  const auto& recorded = this->board.Find(item.job)->items[item.item].progress;
+  auto& progress = this->queue.Progress(item);
+  if (recorded.events > progress.events) {
+    progress.text = recorded.text;
+    progress.events = recorded.events;
+    progress.last_event = recorded.last_event;
+    progress.recorded_events = recorded.events;
+  }
+}
+
+void BatchRunner::RecordProgress(TimePoint now) {
+  for (const auto& [item, run] : this->runs) {
+    const auto& progress = this->queue.Progress(item);
+    if (now - std::max(progress.recorded, run.attempt->started()) >
+        kRecordInterval) {
+      this->RecordProgressOf(item, now);
+    }
+  }
+}
+
+void BatchRunner::RecordProgressOf(const ItemReference& item, TimePoint now) {
+  auto& progress = this->queue.Progress(item);
+  if (!progress.last_event || progress.events <= progress.recorded_events ||
+      this->queue.IsFinished(item)) {
+    return;
+  }
+  progress.recorded = now;
+  progress.recorded_events = progress.events;
+  this->writer.AppendProgress({.job = item.job,
+                               .item = item.item,
+                               .last_event = *progress.last_event,
+                               .events = progress.events,
+                               .text = progress.text});
+}
+
 void BatchRunner::OnBody(const ItemReference& item, std::string_view bytes) {
   Run& run = this->runs.at(item);
   run.last_bytes = BootTimeNow();
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -26,12 +27,15 @@
  public:
   BatchRunner(ForwardingContext& context,
               const BatchBoard& board,
+              const PeerItems& peer_items,
               BatchWriter& writer,
               ConfigSource config);
 
   void Start();
-  /// Ends all runs; what they brought is lost.
-  void Stop();
+  /// Starts no further items.
+  void StopStarting() { this->is_stopping = true; }
+  /// Ends all runs and records their progress.
+  void StopRuns();
 
   void SetPartitions(std::set<std::uint32_t> partitions, std::uint32_t count);
 
@@ -40,9 +44,12 @@
   void StartItems();
 
   /// Ends runs where online requests need the slots, and those of jobs that
-  /// have ended or belong to another host now.
+  /// have ended.
   void ShedRuns();
 
+  /// Hashes of the items that run.
+  std::vector<std::uint64_t> OwnItems() const;
+
   /// True if the job is dealt to this host.
   bool IsOwn(const std::string& job) const { return this->queue.IsOwn(job); }
 
@@ -69,15 +76,21 @@
   void StopRun(const ItemReference& item, const std::string& reason);
   void FinishItem(const ItemReference& item, bool is_completed);
   void GiveUpOverdueItems();
+  /// Takes over what another host has recorded, if it is further.
+  void AdoptProgress(const ItemReference& item);
+  /// Records progress that is much further than the last record.
+  void RecordProgress(TimePoint now);
+  void RecordProgressOf(const ItemReference& item, TimePoint now);
 
   ForwardingContext& context;
   const BatchBoard& board;
+  const PeerItems& peer_items;
   BatchWriter& writer;
   const ConfigSource config;
   BatchQueue queue;
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
-  bool is_stopped = false;
+  bool is_stopping = false;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -39,6 +39,7 @@
 
 BatchService::BatchService(ForwardingContext& context,
                            platform::StoreClient& store,
+                           const PeerItems& peer_items,
                            ConfigSource config,
                            BatchServiceOptions options)
     : context(context),
@@ -51,7 +52,7 @@
               .record_bytes = this->options.record_bytes,
               .call_bytes = this->options.call_bytes,
               .writer = MakeIdentifier("w").substr(0, 14)}),
-      batch_runner(context, this->board, this->writer, config),
+      batch_runner(context, this->board, peer_items, this->writer, config),
       follower(
           context.loop,
           store,
@@ -87,7 +88,7 @@
 void BatchService::Stop() {
   this->is_stopped = true;
   this->join_timer.cancel();
-  this->batch_runner.Stop();
+  this->batch_runner.StopStarting();
   this->store.Leave(this->membership, [] {});
 }
 
--- a/Services/Gateway/batch_service.h
+++ b/Services/Gateway/batch_service.h
@@ -38,11 +38,12 @@
  public:
   BatchService(ForwardingContext& context,
                platform::StoreClient& store,
+               const PeerItems& peer_items,
                ConfigSource config,
                BatchServiceOptions options);
 
   void Start();
-  /// Hands the jobs of this host to others and ends their runs.
+  /// Hands the jobs of this host to others; items that run go on.
   void Stop();
 
   void HandleSubmission(const std::shared_ptr<ServerSession>& session,
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -123,6 +123,14 @@
   return key;
 }
 
+void BatchWriter::AppendProgress(const records::BatchItemProgress& progress) {
+  this->pending.push_back(
+      {.key = ProgressKey(progress.job, progress.item, this->options.writer),
+       .item = {.job = progress.job, .item = progress.item},
+       .value = Encode(progress)});
+  this->ScheduleFlush(kFlushDelay);
+}
+
 void BatchWriter::ScheduleFlush(Duration pause) {
   if (this->is_flush_scheduled || this->is_flushing) {
     return;
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -51,6 +51,9 @@
   /// key.
   std::string AppendFailed(const ItemReference& item);
 
+  /// Appends how far an item's runs have come, likewise.
+  void AppendProgress(const records::BatchItemProgress& progress);
+
   /// Drops keys, as far as the store answers.
   void DropKeys(const std::vector<std::string>& keys);
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -32,6 +32,8 @@
 /// The platform takes a host out of rotation after two failed checks, one a
 /// second.
 constexpr Duration kRotationTime = std::chrono::milliseconds(2300);
+/// Before SIGKILL, to record the progress of batch items in the store.
+constexpr Duration kRecordTime = std::chrono::milliseconds(1500);
 /// Before SIGKILL, to log and to close.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
 
@@ -105,7 +107,7 @@
                     return BootTimeNow() -
                            this->server_follower->current_as_of();
                   }},
-      peers(loop, this->loads),
+      peers(loop, this->loads, this->peer_items),
       callers(
           loop,
           [this] { return this->CallerLimits(); },
@@ -174,7 +176,8 @@
           .on_regained =
               [this] { this->directory.OnRegistryRegained(BootTimeNow()); }});
   this->batch = std::make_unique<BatchService>(
-      this->context, this->store, [this] { return this->config; },
+      this->context, this->store, this->peer_items,
+      [this] { return this->config; },
       BatchServiceOptions{
           .host_name = this->settings.host.name,
           .partitions = this->settings.store.partitions,
@@ -185,6 +188,8 @@
           .current_window = this->settings.limits.quota_window,
           .peer_address = this->peers.own_address(),
           .on_peer = [this](const auto& peer) { this->peers.AddPeer(peer); }});
+  this->peers.set_own_items(
+      [this] { return this->batch->runner().OwnItems(); });
   this->peers.set_on_report([this] { this->batch->runner().ShedRuns(); });
   this->config_follower->Start();
   this->server_follower->Start();
@@ -391,9 +396,14 @@
     LogEvent(Event::kShutdownStep, {{"step", "closed to new connections"}});
     this->callers.StopAccepting();
   }
-  const bool is_done = this->stopped_accepting &&
-                       this->callers.sessions_handling() == 0 &&
-                       this->batch->unwritten() == 0;
+  // Whole seconds of SIGKILL's grace go to running items; what they have not
+  // reached by then is recorded, so that another host goes on from there.
+  if (since > this->settings.limits.shutdown_time - kRecordTime) {
+    this->batch->runner().StopRuns();
+  }
+  const bool is_done =
+      this->stopped_accepting && this->callers.sessions_handling() == 0 &&
+      this->batch->runner().running() == 0 && this->batch->unwritten() == 0;
   if (is_done ||
       since > this->settings.limits.shutdown_time - kShutdownMargin) {
     LogEvent(Event::kShutdownStep, {{"step", "end"}});
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -58,6 +58,7 @@
   ConnectionPool pool;
   ReplicaDirectory directory;
   ReplicaLoads loads;
+  PeerItems peer_items;
   Placement placement;
   RequestMetrics metrics;
   Random random;
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -29,8 +29,14 @@
 
 }  // namespace
 
-PeerExchange::PeerExchange(boost::asio::io_context& loop, ReplicaLoads& loads)
-    : loads(loads), socket(loop), timer(loop), sender(SystemRandom()) {}
+PeerExchange::PeerExchange(boost::asio::io_context& loop,
+                           ReplicaLoads& loads,
+                           PeerItems& items)
+    : loads(loads),
+      items(items),
+      socket(loop),
+      timer(loop),
+      sender(SystemRandom()) {}
 
 Result<void> PeerExchange::Open(const std::string& address,
                                 std::uint16_t port) {
@@ -99,6 +105,9 @@
                                .online = Clamp16(outstanding.online),
                                .batch = Clamp16(outstanding.batch)});
   }
+  if (this->own_items) {
+    report.items = this->own_items();
+  }
   const std::string bytes = Encode(report);
   for (auto& [address, peer] : this->peers) {
     if (this->last_sent - peer.heard > kSilentAfter &&
@@ -155,6 +164,8 @@
     outstanding[replica.replica] = {.online = replica.online,
                                     .batch = replica.batch};
   }
+  this->items.OnReport(address, {report->items.begin(), report->items.end()},
+                       peer.heard);
   this->loads.OnPeerReport(address, std::move(outstanding), peer.heard);
   if (this->on_report) {
     this->on_report();
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -12,6 +14,7 @@
 
 #include "LibCore/result.h"
 #include "LibCore/time.h"
+#include "LibServing/peer_items.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -20,7 +23,9 @@
 /// takes their reports, so that each host places requests by the load of all.
 class PeerExchange {
  public:
-  PeerExchange(boost::asio::io_context& loop, ReplicaLoads& loads);
+  PeerExchange(boost::asio::io_context& loop,
+               ReplicaLoads& loads,
+               PeerItems& items);
 
   /// Fails with kUnavailable if the port cannot be opened.
   Result<void> Open(const std::string& address, std::uint16_t port);
@@ -37,6 +42,11 @@
     this->on_report = std::move(callback);
   }
 
+  /// Tells which batch items this host runs.
+  void set_own_items(std::function<std::vector<std::uint64_t>()> callback) {
+    this->own_items = std::move(callback);
+  }
+
   const std::string& own_address() const { return this->own; }
 
  private:
@@ -54,6 +64,7 @@
   void Schedule(Duration pause);
 
   ReplicaLoads& loads;
+  PeerItems& items;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
   const std::uint64_t sender;
@@ -63,6 +74,7 @@
   boost::asio::ip::udp::endpoint source;
   std::array<char, 65536> buffer{};
   std::function<void()> on_report;
+  std::function<std::vector<std::uint64_t>()> own_items;
   TimePoint last_sent{};
   bool has_change = false;
   bool is_stopped = false;
--- a/Tests/LibServing/batch_board_test.cc
+++ b/Tests/LibServing/batch_board_test.cc
@@ -109,6 +109,26 @@
   CHECK_EQUAL(3U, queue.FailureCount(this->board, item));
 }
 
+// Guards against work that is lost with its host, and against older progress
+// that takes the place of newer.
+TEST(BatchBoard_OneJob, FurthestProgressIsKeptUntilTheItemIsFinished) {
+  const auto progress = [](const std::string& writer, std::uint64_t events) {
+    return KeyedRecord{
+        .key = ProgressKey("j", 0, writer),
+        .value = Encode(records::BatchItemProgress{.job = "j",
+                                                   .item = 0,
+                                                   .last_event = events - 1,
+                                                   .events = events,
+                                                   .text = writer})};
+  };
+  this->Apply(progress("w1", 5));
+  this->Apply(progress("w2", 3));
+  CHECK_EQUAL(5U, this->board.Find("j")->items[0].progress.events);
+  this->Apply(Finished("j", 0, "w1", "text"));
+  this->Apply(progress("w2", 9));
+  CHECK_EQUAL(0U, this->board.Find("j")->items[0].progress.events);
+}
+
 // Guards against memory that grows with the bodies of finished items.
 TEST(BatchBoard_OneJob, BodyOfAFinishedItemIsDropped) {
   STRCMP_EQUAL("body1", this->board.Find("j")->items[1].body.c_str());
@@ -192,6 +212,7 @@
 TEST_GROUP(BatchQueue_TwoJobs) {
   BatchBoard board;
   BatchQueue queue;
+  PeerItems peers;
   RoutingConfig config{
       .version = 1,
       .routes = {{.name = "r",
@@ -232,7 +253,8 @@
 
 // Guards against work that is due later going first.
 TEST(BatchQueue_TwoJobs, ItemOfTheJobThatIsDueFirstGoesNext) {
-  const auto item = this->queue.Next(this->board, this->config, this->now);
+  const auto item =
+      this->queue.Next(this->board, this->config, this->peers, this->now);
   CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
 }
 
@@ -241,11 +263,12 @@
 TEST(BatchQueue_TwoJobs, RunningFinishedAndWaitingItemsArePassedOver) {
   this->queue.SetRunning({.job = "early", .item = 0}, true);
   this->queue.SetFinished({.job = "early", .item = 1});
-  auto item = this->queue.Next(this->board, this->config, this->now);
+  auto item =
+      this->queue.Next(this->board, this->config, this->peers, this->now);
   CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
   this->queue.Progress({.job = "late", .item = 0}).not_before =
       this->now + std::chrono::seconds(1);
-  item = this->queue.Next(this->board, this->config, this->now);
+  item = this->queue.Next(this->board, this->config, this->peers, this->now);
   CHECK_TRUE(item == (ItemReference{.job = "late", .item = 1}));
 }
 
@@ -253,7 +276,21 @@
 TEST(BatchQueue_TwoJobs, JobsOfOtherPartitionsAreNotRun) {
   this->queue.SetPartitions({}, 1);
   CHECK_FALSE(
-      this->queue.Next(this->board, this->config, this->now).has_value());
+      this->queue.Next(this->board, this->config, this->peers, this->now)
+          .has_value());
+}
+
+// Guards against a second run of an item that still runs on the host that had
+// its job before, and against an item that waits for a host that has gone.
+TEST(BatchQueue_TwoJobs, ItemsOfALivePeerAreLeftAlone) {
+  const ItemReference first{.job = "early", .item = 0};
+  this->peers.OnReport("peer", {first.Hash()}, this->now);
+  auto item =
+      this->queue.Next(this->board, this->config, this->peers, this->now);
+  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 1}));
+  this->now += std::chrono::seconds(2);
+  item = this->queue.Next(this->board, this->config, this->peers, this->now);
+  CHECK_TRUE(item == first);
 }
 
 // Guards against items that stay open for ever, and against giving them up
