--- a/Libraries/LibServing/replica_loads.cc
+++ b/Libraries/LibServing/replica_loads.cc
@@ -57,28 +57,8 @@
   return found == this->own.end() ? Outstanding{} : found->second;
 }
 
-void ReplicaLoads::OnReplicaReport(const std::string& replica,
-                                   std::uint32_t requests,
-                                   TimePoint now) {
-  const std::uint32_t known = this->Known(replica, now).total();
-  const std::uint32_t expected = known + this->options.unknown_slack;
-  this->unknown[replica] = {
-      .requests = requests > expected ? requests - known : 0, .reported = now};
-}
-
 Outstanding ReplicaLoads::Total(const std::string& replica,
                                 TimePoint now) const {
-  Outstanding total = this->Known(replica, now);
-  if (const auto found = this->unknown.find(replica);
-      found != this->unknown.end() &&
-      now - found->second.reported <= this->options.replica_report_life) {
-    total.online += found->second.requests;
-  }
-  return total;
-}
-
-Outstanding ReplicaLoads::Known(const std::string& replica,
-                                TimePoint now) const {
   Outstanding total = this->Own(replica);
   for (const auto& [peer, report] : this->peers) {
     if (now - report.received > this->options.peer_report_life) {
@@ -110,7 +90,6 @@
 
 void ReplicaLoads::Forget(const std::string& replica) {
   this->health.erase(replica);
-  this->unknown.erase(replica);
 }
 
 }  // namespace crocus
--- a/Libraries/LibServing/replica_loads.h
+++ b/Libraries/LibServing/replica_loads.h
@@ -32,12 +32,6 @@
   Duration longest_pause = std::chrono::milliseconds(4000);
   /// Failed requests in succession after which a replica is paused.
   std::uint32_t failures_before_pause = 3;
-  /// A replica's own report counts for this long; about the time that an
-  /// online request runs.
-  Duration replica_report_life = std::chrono::milliseconds(800);
-  /// Requests that may be missing in the reports of peers, which are up to a
-  /// report interval old.
-  std::uint32_t unknown_slack = 2;
 };
 
 /// What this host and its peers have running at each replica, and which
@@ -59,14 +53,7 @@
                     std::map<std::string, Outstanding> loads,
                     TimePoint now);
 
-  /// The replica itself says how many requests it has. What is beyond the known
-  /// ones was sent by hosts that are gone or not heard.
-  void OnReplicaReport(const std::string& replica,
-                       std::uint32_t requests,
-                       TimePoint now);
-
-  /// Of this host, of its peers, and of unknown hosts together. The latter
-  /// count as online, since nobody here can end them.
+  /// Of this host and of its peers together.
   Outstanding Total(const std::string& replica, TimePoint now) const;
   Outstanding Own(const std::string& replica) const;
   /// Own figures that are not zero.
@@ -83,23 +70,17 @@
     Duration pause{};
     TimePoint paused_until{};
   };
-  struct Unknown {
-    std::uint32_t requests = 0;
-    TimePoint reported{};
-  };
   struct PeerReport {
     std::map<std::string, Outstanding> loads;
     TimePoint received{};
   };
 
-  Outstanding Known(const std::string& replica, TimePoint now) const;
   void Pause(Health& health, TimePoint now) const;
 
   const ReplicaLoadsOptions options;
   std::map<std::string, Outstanding> own;
   std::map<std::string, Health> health;
   std::map<std::string, PeerReport> peers;
-  std::map<std::string, Unknown> unknown;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -54,11 +54,6 @@
   if (answer.is_stray) {
     return HeadDecision::kSkip;
   }
-  if (answer.running) {
-    this->context.loads.OnReplicaReport(
-        this->options.replica, *answer.running + answer.waiting.value_or(0),
-        BootTimeNow());
-  }
   if (answer.is_not_run) {
     this->refusal = "replica answered " + std::to_string(head.status);
     return HeadDecision::kAccept;
