Do batch items last that are late anyway

Change: an item that cannot be done before it is due, counting its progress and the mean run time, comes after those that can; its run is the first to end when online needs the slot, and it makes room for an item that can be in time.

--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -1,11 +1,20 @@
 #include "LibServing/batch_queue.h"
 
-#include <limits>
+#include <algorithm>
 
 #include "LibCore/hashing.h"
 
 namespace crocus {
 
+namespace {
+
+/// From the last event of an item until callers can read its result: the
+/// append, the other hosts' reads, and the caller's own interval.
+constexpr Duration kListingTime = std::chrono::milliseconds(300);
+constexpr double kNewestWeight = 0.1;
+
+}  // namespace
+
 const Route* RouteOfJob(const RoutingConfig& config,
                         const records::BatchJobAccepted& job) {
   if (const Route* route = config.FindRoute(job.host, job.path);
@@ -33,12 +42,52 @@
       static_cast<std::uint32_t>(HashBytes(job) % this->partition_count));
 }
 
-std::optional<ItemReference> BatchQueue::Next(const BatchBoard& board,
-                                              const RoutingConfig& config,
-                                              const PeerItems& peers,
-                                              TimePoint now) const {
+std::int64_t BatchQueue::DueTime(const Route& route, const BoardJob& job) {
+  return job.record.submitted_ms +
+         std::chrono::duration_cast<std::chrono::milliseconds>(
+             route.completion_target - kListingTime)
+             .count();
+}
+
+bool BatchQueue::IsLate(const BatchBoard& board,
+                        const RoutingConfig& config,
+                        const ItemReference& item,
+                        std::int64_t unix_milliseconds) const {
+  const BoardJob* job = board.Find(item.job);
+  const Route* route =
+      job == nullptr ? nullptr : RouteOfJob(config, job->record);
+  if (route == nullptr) {
+    return true;
+  }
+  double left = 1;
+  if (const auto known = this->progress.find(item);
+      known != this->progress.end() && this->mean_events > 0) {
+    left = std::max(
+        0.0, 1 - static_cast<double>(known->second.events) / this->mean_events);
+  }
+  const auto needed =
+      static_cast<std::int64_t>(left * ToSeconds(this->mean_run_time) * 1000);
+  return unix_milliseconds + needed > DueTime(*route, *job);
+}
+
+void BatchQueue::OnItemDone(Duration time, std::uint64_t events) {
+  this->mean_run_time += FromSeconds(
+      kNewestWeight * (ToSeconds(time) - ToSeconds(this->mean_run_time)));
+  this->mean_events =
+      this->mean_events == 0
+          ? static_cast<double>(events)
+          : this->mean_events + kNewestWeight * (static_cast<double>(events) -
+                                                 this->mean_events);
+}
+
+std::optional<ItemReference> BatchQueue::Next(
+    const BatchBoard& board,
+    const RoutingConfig& config,
+    const PeerItems& peers,
+    TimePoint now,
+    std::int64_t unix_milliseconds) const {
   std::optional<ItemReference> best;
-  std::int64_t best_due = std::numeric_limits<std::int64_t>::max();
+  std::pair<bool, std::int64_t> best_rank;
   for (const auto& [id, job] : board.jobs()) {
     if (job.is_ended || job.listing.size() == job.items.size() ||
         !this->IsOwn(id)) {
@@ -48,14 +97,6 @@
     if (route == nullptr) {
       continue;
     }
-    const std::int64_t due =
-        job.record.submitted_ms +
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            route->completion_target)
-            .count();
-    if (due >= best_due) {
-      continue;
-    }
     for (std::uint32_t i = 0; i < job.items.size(); ++i) {
       const ItemReference item{.job = id, .item = i};
       if (job.items[i].state != ItemState::kOpen ||
@@ -67,9 +108,13 @@
           known != this->progress.end() && now < known->second.not_before) {
         continue;
       }
-      best = item;
-      best_due = due;
-      break;
+      const std::pair<bool, std::int64_t> rank{
+          this->IsLate(board, config, item, unix_milliseconds),
+          DueTime(*route, job)};
+      if (!best || rank < best_rank) {
+        best = item;
+        best_rank = rank;
+      }
     }
   }
   return best;
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -30,6 +30,8 @@
   std::set<std::string> avoided;
   TimePoint not_before{};
   TimePoint first_started{};
+  /// Time for which runs of the item have lasted.
+  Duration run_time{};
   /// Events of the last progress record, and when it was written.
   std::uint64_t recorded_events = 0;
   TimePoint recorded{};
@@ -46,12 +48,24 @@
   const std::set<std::uint32_t>& partitions() const { return this->own; }
 
   /// The item to start next: of the job that is due first, the first item in
-  /// order. Items that run, that have their final state or that wait after a
+  /// order. Items that cannot be done before they are due come after those that
+  /// can: with more work than slots, doing the oldest first would make every
+  /// job late. Items that run, that have their final state or that wait after a
   /// failure are passed over, and those that another host runs.
   std::optional<ItemReference> Next(const BatchBoard& board,
                                     const RoutingConfig& config,
                                     const PeerItems& peers,
-                                    TimePoint now) const;
+                                    TimePoint now,
+                                    std::int64_t unix_milliseconds) const;
+
+  /// True if the item, with its progress, will not be done before it is due.
+  bool IsLate(const BatchBoard& board,
+              const RoutingConfig& config,
+              const ItemReference& item,
+              std::int64_t unix_milliseconds) const;
+
+  /// Takes the time for which a whole item ran, and its events, into account.
+  void OnItemDone(Duration time, std::uint64_t events);
 
   /// Open items that may be given up: their job's retention has passed.
   std::vector<ItemReference> Overdue(const BatchBoard& board,
@@ -72,11 +86,17 @@
   void Prune(const BatchBoard& board);
 
  private:
+  /// When the results of a job must be finished, in ms since the Unix epoch.
+  static std::int64_t DueTime(const Route& route, const BoardJob& job);
+
   std::set<std::uint32_t> own;
   std::uint32_t partition_count = 1;
   std::map<ItemReference, ItemProgress> progress;
   std::set<ItemReference> running;
   std::set<ItemReference> finished;
+  /// Time for which a whole item runs; 5 s at first.
+  Duration mean_run_time = std::chrono::seconds(5);
+  double mean_events = 0;
 };
 
 /// The route of a job under that configuration: by its name, or by host and
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -124,15 +124,26 @@
       excess[replica] = (over * own.batch + total.batch - 1) / total.batch;
     }
   }
-  for (const auto& [item, run] : this->runs) {
-    const BoardJob* job = this->board.Find(item.job);
-    if (job == nullptr || job->is_ended ||
-        job->items[item.item].state != ItemState::kOpen) {
-      stopped.emplace_back(item, "ended");
-    } else if (auto found = excess.find(run.attempt->replica());
-               found != excess.end() && found->second > 0) {
-      --found->second;
-      stopped.emplace_back(item, "online needs the slot");
+  const auto current = this->config();
+  const std::int64_t unix_now = UnixMilliseconds();
+  // Late runs go first.
+  for (const bool is_late : {true, false}) {
+    for (const auto& [item, run] : this->runs) {
+      const BoardJob* job = this->board.Find(item.job);
+      if (job == nullptr || job->is_ended ||
+          job->items[item.item].state != ItemState::kOpen) {
+        if (is_late) {
+          stopped.emplace_back(item, "ended");
+        }
+        continue;
+      }
+      const auto found = excess.find(run.attempt->replica());
+      if (found != excess.end() && found->second > 0 &&
+          this->queue.IsLate(this->board, *current, item, unix_now) ==
+              is_late) {
+        --found->second;
+        stopped.emplace_back(item, "online needs the slot");
+      }
     }
   }
   for (const auto& [item, reason] : stopped) {
@@ -146,9 +157,10 @@
     return;
   }
   const TimePoint now = BootTimeNow();
+  const std::int64_t unix_now = UnixMilliseconds();
   std::set<std::string> started;
-  while (const auto item =
-             this->queue.Next(this->board, *current, this->peer_items, now)) {
+  while (const auto item = this->queue.Next(this->board, *current,
+                                            this->peer_items, now, unix_now)) {
     const BoardJob* job = this->board.Find(item->job);
     const Route* route = RouteOfJob(*current, job->record);
     const std::string endpoint = EndpointOfJob(*route, item->job);
@@ -161,6 +173,9 @@
       choice = this->context.placement.ChooseBatch(endpoint, started, now);
     }
     if (!choice) {
+      if (!this->queue.IsLate(this->board, *current, *item, unix_now)) {
+        this->StopLateRun(*current, unix_now);
+      }
       break;
     }
     started.insert(choice->replica);
@@ -168,6 +183,17 @@
   }
 }
 
+void BatchRunner::StopLateRun(const RoutingConfig& current,
+                              std::int64_t unix_milliseconds) {
+  for (const auto& [item, run] : this->runs) {
+    if (this->queue.IsLate(this->board, current, item, unix_milliseconds)) {
+      const ItemReference late = item;
+      this->StopRun(late, "an item that can be in time needs the slot");
+      return;
+    }
+  }
+}
+
 void BatchRunner::StartItem(const ItemReference& item,
                             const Route& route,
                             const PlacementChoice& choice) {
@@ -277,10 +303,12 @@
   this->queue.SetRunning(item, false);
   auto& progress = this->queue.Progress(item);
   const TimePoint now = BootTimeNow();
+  progress.run_time += now - run.attempt->started();
   const bool is_whole =
       end.end == ExchangeEnd::kComplete && end.verdict == Verdict::kRan;
   if (is_whole && run.is_usable && run.is_in_order &&
       run.stream.rest().empty() && progress.events > 0) {
+    this->queue.OnItemDone(progress.run_time, progress.events);
     this->FinishItem(item, true);
     return;
   }
@@ -322,6 +350,7 @@
   this->queue.SetRunning(item, false);
   auto& progress = this->queue.Progress(item);
   progress.not_before = BootTimeNow() + kStoppedPause;
+  progress.run_time += BootTimeNow() - attempt->started();
   const BoardJob* job = this->board.Find(item.job);
   LogEvent(Event::kBatchItemStopped,
            {{"request", job == nullptr ? "" : job->items[item.item].spec.id},
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -67,6 +67,9 @@
   };
 
   void Tick();
+  /// Makes room for an item that can be in time.
+  void StopLateRun(const RoutingConfig& current,
+                   std::int64_t unix_milliseconds);
   void StartItem(const ItemReference& item,
                  const Route& route,
                  const PlacementChoice& choice);
--- a/Tests/LibServing/batch_board_test.cc
+++ b/Tests/LibServing/batch_board_test.cc
@@ -223,6 +223,7 @@
                   .completion_target = std::chrono::seconds(18),
                   .retention = std::chrono::seconds(60)}}};
   TimePoint now{std::chrono::hours(1)};
+  std::int64_t unix_now = 3000;
 
   void setup() override {
     std::uint64_t offset = 0;
@@ -253,31 +254,58 @@
 
 // Guards against work that is due later going first.
 TEST(BatchQueue_TwoJobs, ItemOfTheJobThatIsDueFirstGoesNext) {
-  const auto item =
-      this->queue.Next(this->board, this->config, this->peers, this->now);
+  const auto item = this->queue.Next(this->board, this->config, this->peers,
+                                     this->now, this->unix_now);
   CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
 }
 
+// Guards against a backlog in which every job is late: the load is twice what
+// the slots can do, and items are due 18 s after their submission.
+TEST(BatchQueue_TwoJobs, ItemsThatAreLateAnywayComeLast) {
+  this->unix_now = 1000 + 13500;
+  auto item = this->queue.Next(this->board, this->config, this->peers,
+                               this->now, this->unix_now);
+  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
+  this->unix_now = 2000 + 14000;
+  item = this->queue.Next(this->board, this->config, this->peers, this->now,
+                          this->unix_now);
+  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
+}
+
+// Guards against giving up on an item that is nearly done.
+TEST(BatchQueue_TwoJobs, ProgressCountsForWhatCanBeInTime) {
+  const ItemReference first{.job = "early", .item = 0};
+  this->queue.OnItemDone(std::chrono::seconds(5), 100);
+  this->unix_now = 1000 + 16000;
+  CHECK_TRUE(
+      this->queue.IsLate(this->board, this->config, first, this->unix_now));
+  this->queue.Progress(first).events = 80;
+  CHECK_FALSE(
+      this->queue.IsLate(this->board, this->config, first, this->unix_now));
+}
+
 // Guards against two runs of one item on this host, and against a busy loop on
 // an item that has just failed.
 TEST(BatchQueue_TwoJobs, RunningFinishedAndWaitingItemsArePassedOver) {
   this->queue.SetRunning({.job = "early", .item = 0}, true);
   this->queue.SetFinished({.job = "early", .item = 1});
-  auto item =
-      this->queue.Next(this->board, this->config, this->peers, this->now);
+  auto item = this->queue.Next(this->board, this->config, this->peers,
+                               this->now, this->unix_now);
   CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
   this->queue.Progress({.job = "late", .item = 0}).not_before =
       this->now + std::chrono::seconds(1);
-  item = this->queue.Next(this->board, this->config, this->peers, this->now);
+  item = this->queue.Next(this->board, this->config, this->peers, this->now,
+                          this->unix_now);
   CHECK_TRUE(item == (ItemReference{.job = "late", .item = 1}));
 }
 
 // Guards against running jobs that the store has dealt to another host.
 TEST(BatchQueue_TwoJobs, JobsOfOtherPartitionsAreNotRun) {
   this->queue.SetPartitions({}, 1);
-  CHECK_FALSE(
-      this->queue.Next(this->board, this->config, this->peers, this->now)
-          .has_value());
+  CHECK_FALSE(this->queue
+                  .Next(this->board, this->config, this->peers, this->now,
+                        this->unix_now)
+                  .has_value());
 }
 
 // Guards against a second run of an item that still runs on the host that had
@@ -285,11 +313,12 @@
 TEST(BatchQueue_TwoJobs, ItemsOfALivePeerAreLeftAlone) {
   const ItemReference first{.job = "early", .item = 0};
   this->peers.OnReport("peer", {first.Hash()}, this->now);
-  auto item =
-      this->queue.Next(this->board, this->config, this->peers, this->now);
+  auto item = this->queue.Next(this->board, this->config, this->peers,
+                               this->now, this->unix_now);
   CHECK_TRUE(item == (ItemReference{.job = "early", .item = 1}));
   this->now += std::chrono::seconds(2);
-  item = this->queue.Next(this->board, this->config, this->peers, this->now);
+  item = this->queue.Next(this->board, this->config, this->peers, this->now,
+                          this->unix_now);
   CHECK_TRUE(item == first);
 }
 
