Give free slots to the host with the most urgent batch items

Change: reports carry the due time of the most urgent item that waits; other hosts leave one more slot of each replica free.

--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -567,12 +567,15 @@
   std::vector<ReplicaOutstanding> replicas{};
   /// Hashes of the batch items that the sender runs.
   std::vector<std::uint64_t> items{};
+  /// When the most urgent item that waits for a slot at the sender is due, in
+  /// ms since the Unix epoch; 0 without one that can be in time.
+  std::int64_t next_due_ms{0};
 
   bool operator==(const OutstandingReport&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, sequence, replicas, items);
+    archive(sender, sequence, replicas, items, next_due_ms);
   }
 };
 
--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -80,14 +80,12 @@
                                                  this->mean_events);
 }
 
-std::optional<ItemReference> BatchQueue::Next(
-    const BatchBoard& board,
-    const RoutingConfig& config,
-    const PeerItems& peers,
-    TimePoint now,
-    std::int64_t unix_milliseconds) const {
-  std::optional<ItemReference> best;
-  std::pair<bool, std::int64_t> best_rank;
+std::optional<NextItem> BatchQueue::Next(const BatchBoard& board,
+                                         const RoutingConfig& config,
+                                         const PeerItems& peers,
+                                         TimePoint now,
+                                         std::int64_t unix_milliseconds) const {
+  std::optional<NextItem> best;
   for (const auto& [id, job] : board.jobs()) {
     if (job.is_ended || job.listing.size() == job.items.size() ||
         !this->IsOwn(id)) {
@@ -108,12 +106,13 @@
           known != this->progress.end() && now < known->second.not_before) {
         continue;
       }
-      const std::pair<bool, std::int64_t> rank{
-          this->IsLate(board, config, item, unix_milliseconds),
-          DueTime(*route, job)};
-      if (!best || rank < best_rank) {
-        best = item;
-        best_rank = rank;
+      const NextItem next{
+          .item = item,
+          .is_late = this->IsLate(board, config, item, unix_milliseconds),
+          .due_ms = DueTime(*route, job)};
+      if (!best || std::pair(next.is_late, next.due_ms) <
+                       std::pair(best->is_late, best->due_ms)) {
+        best = next;
       }
     }
   }
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -37,6 +37,17 @@
   TimePoint recorded{};
 };
 
+/// The item that goes next.
+struct NextItem {
+  ItemReference item;
+  /// It cannot be done before it is due.
+  bool is_late = false;
+  /// In ms since the Unix epoch.
+  std::int64_t due_ms = 0;
+
+  bool operator==(const NextItem&) const = default;
+};
+
 /// The open items of the jobs that this host runs, and which goes next. Not
 /// thread-safe.
 class BatchQueue {
@@ -52,11 +63,11 @@
   /// can: with more work than slots, doing the oldest first would make every
   /// job late. Items that run, that have their final state or that wait after a
   /// failure are passed over, and those that another host runs.
-  std::optional<ItemReference> Next(const BatchBoard& board,
-                                    const RoutingConfig& config,
-                                    const PeerItems& peers,
-                                    TimePoint now,
-                                    std::int64_t unix_milliseconds) const;
+  std::optional<NextItem> Next(const BatchBoard& board,
+                               const RoutingConfig& config,
+                               const PeerItems& peers,
+                               TimePoint now,
+                               std::int64_t unix_milliseconds) const;
 
   /// True if the item, with its progress, will not be done before it is due.
   bool IsLate(const BatchBoard& board,
--- a/Libraries/LibServing/peer_items.cc
+++ b/Libraries/LibServing/peer_items.cc
@@ -20,8 +20,21 @@
 
 void PeerItems::OnReport(const std::string& peer,
                          std::set<std::uint64_t> items,
+                         std::int64_t next_due_ms,
                          TimePoint now) {
-  this->reports[peer] = {.items = std::move(items), .received = now};
+  this->reports[peer] = {
+      .items = std::move(items), .next_due_ms = next_due_ms, .received = now};
+}
+
+std::optional<std::int64_t> PeerItems::EarliestDue(TimePoint now) const {
+  std::optional<std::int64_t> earliest;
+  for (const auto& [peer, report] : this->reports) {
+    if (now - report.received <= kReportLife && report.next_due_ms != 0) {
+      earliest =
+          std::min(report.next_due_ms, earliest.value_or(report.next_due_ms));
+    }
+  }
+  return earliest;
 }
 
 bool PeerItems::IsRunning(const ItemReference& item, TimePoint now) const {
--- a/Libraries/LibServing/peer_items.h
+++ b/Libraries/LibServing/peer_items.h
@@ -4,6 +4,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -22,20 +23,27 @@
   auto operator<=>(const ItemReference&) const = default;
 };
 
-/// The batch items that other hosts run, by their reports. A host that is dealt
-/// a job of another one leaves the items alone that still run there.
+/// The batch items that other hosts run, and when the most urgent ones are due
+/// that wait there, by their reports. A host that is dealt a job of another one
+/// leaves the items alone that still run there.
 class PeerItems {
  public:
   /// Replaces what the peer said before.
   void OnReport(const std::string& peer,
                 std::set<std::uint64_t> items,
+                std::int64_t next_due_ms,
                 TimePoint now);
 
+  /// Earliest due time of an item that waits at a peer, in ms since the Unix
+  /// epoch; none if no item waits.
+  std::optional<std::int64_t> EarliestDue(TimePoint now) const;
+
   bool IsRunning(const ItemReference& item, TimePoint now) const;
 
  private:
   struct Report {
     std::set<std::uint64_t> items;
+    std::int64_t next_due_ms = 0;
     TimePoint received{};
   };
 
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -88,12 +88,14 @@
 std::optional<PlacementChoice> Placement::ChooseBatch(
     const std::string& endpoint,
     const std::set<std::string>& excluded,
-    TimePoint now) const {
+    TimePoint now,
+    std::uint32_t further_reserve) const {
+  const std::uint32_t reserve = this->options.batch_reserve + further_reserve;
   std::optional<PlacementChoice> best;
   double best_cost = 0;
   for (const auto* replica : this->Candidates(endpoint, excluded, now)) {
     const Outstanding load = this->loads.Total(replica->id, now);
-    if (load.total() + this->options.batch_reserve >= replica->slots ||
+    if (load.total() + reserve >= replica->slots ||
         this->loads.IsPaused(replica->id, now)) {
       continue;
     }
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -55,13 +55,15 @@
       const std::set<std::string>& tried,
       TimePoint now);
 
-  /// A replica with a slot for batch work, apart from `excluded`. Hosts prefer
-  /// different replicas: with the same preference all of them would fill the
-  /// emptiest one before they hear of each other.
+  /// A replica with a slot for batch work, apart from `excluded`, that keeps
+  /// `further_reserve` slots free besides the reserve for online requests.
+  /// Hosts prefer different replicas: with the same preference all of them
+  /// would fill the emptiest one before they hear of each other.
   std::optional<PlacementChoice> ChooseBatch(
       const std::string& endpoint,
       const std::set<std::string>& excluded,
-      TimePoint now) const;
+      TimePoint now,
+      std::uint32_t further_reserve = 0) const;
 
   /// Takes a finished request into account for the expected waits.
   void OnServed(const std::string& endpoint, Duration time);
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -18,6 +18,10 @@
 /// A host that dies loses at most this much of the work on an item. Records
 /// cost bytes at the store and at each reader.
 constexpr Duration kRecordInterval = std::chrono::milliseconds(2000);
+/// Slots of a replica that a host leaves to hosts with more urgent items.
+constexpr std::uint32_t kUrgencyReserve = 1;
+/// Due times that differ by less count as equal.
+constexpr std::int64_t kUrgencySlackMilliseconds = 500;
 constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
 /// The replica was full; peers' reports of it come several times in this time.
 constexpr Duration kStoppedPause = std::chrono::milliseconds(300);
@@ -153,33 +157,43 @@
 
 void BatchRunner::StartItems() {
   const auto current = this->config();
+  this->waiting_due_ms = 0;
   if (!current || this->is_stopping) {
     return;
   }
   const TimePoint now = BootTimeNow();
   const std::int64_t unix_now = UnixMilliseconds();
   std::set<std::string> started;
-  while (const auto item = this->queue.Next(this->board, *current,
+  const auto peer_due = this->peer_items.EarliestDue(now);
+  while (const auto next = this->queue.Next(this->board, *current,
                                             this->peer_items, now, unix_now)) {
-    const BoardJob* job = this->board.Find(item->job);
+    const ItemReference& item = next->item;
+    const BoardJob* job = this->board.Find(item.job);
     const Route* route = RouteOfJob(*current, job->record);
-    const std::string endpoint = EndpointOfJob(*route, item->job);
-    auto& progress = this->queue.Progress(*item);
+    const std::string endpoint = EndpointOfJob(*route, item.job);
+    const bool is_most_urgent =
+        !next->is_late &&
+        (!peer_due || next->due_ms <= *peer_due + kUrgencySlackMilliseconds);
+    const std::uint32_t reserve = is_most_urgent ? 0 : kUrgencyReserve;
+    auto& progress = this->queue.Progress(item);
     std::set<std::string> excluded = started;
     excluded.insert(progress.avoided.begin(), progress.avoided.end());
-    auto choice = this->context.placement.ChooseBatch(endpoint, excluded, now);
+    auto choice =
+        this->context.placement.ChooseBatch(endpoint, excluded, now, reserve);
     if (!choice && !progress.avoided.empty()) {
       progress.avoided.clear();
-      choice = this->context.placement.ChooseBatch(endpoint, started, now);
+      choice =
+          this->context.placement.ChooseBatch(endpoint, started, now, reserve);
     }
     if (!choice) {
-      if (!this->queue.IsLate(this->board, *current, *item, unix_now)) {
+      if (!next->is_late) {
+        this->waiting_due_ms = next->due_ms;
         this->StopLateRun(*current, unix_now);
       }
       break;
     }
     started.insert(choice->replica);
-    this->StartItem(*item, *route, *choice);
+    this->StartItem(item, *route, *choice);
   }
 }
 
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -50,6 +50,10 @@
   /// Hashes of the items that run.
   std::vector<std::uint64_t> OwnItems() const;
 
+  /// When the most urgent item is due that waits for a slot, in ms since the
+  /// Unix epoch; 0 without one.
+  std::int64_t waiting_due() const { return this->waiting_due_ms; }
+
   /// True if the job is dealt to this host.
   bool IsOwn(const std::string& job) const { return this->queue.IsOwn(job); }
 
@@ -93,6 +97,7 @@
   BatchQueue queue;
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
+  std::int64_t waiting_due_ms = 0;
   bool is_stopping = false;
 };
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -188,8 +188,10 @@
           .current_window = this->settings.limits.quota_window,
           .peer_address = this->peers.own_address(),
           .on_peer = [this](const auto& peer) { this->peers.AddPeer(peer); }});
-  this->peers.set_own_items(
-      [this] { return this->batch->runner().OwnItems(); });
+  this->peers.set_add_items([this](auto& report) {
+    report.items = this->batch->runner().OwnItems();
+    report.next_due_ms = this->batch->runner().waiting_due();
+  });
   this->peers.set_on_report([this] { this->batch->runner().ShedRuns(); });
   this->config_follower->Start();
   this->server_follower->Start();
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -105,8 +105,8 @@
                                .online = Clamp16(outstanding.online),
                                .batch = Clamp16(outstanding.batch)});
   }
-  if (this->own_items) {
-    report.items = this->own_items();
+  if (this->add_items) {
+    this->add_items(report);
   }
   const std::string bytes = Encode(report);
   for (auto& [address, peer] : this->peers) {
@@ -165,7 +165,7 @@
                                     .batch = replica.batch};
   }
   this->items.OnReport(address, {report->items.begin(), report->items.end()},
-                       peer.heard);
+                       report->next_due_ms, peer.heard);
   this->loads.OnPeerReport(address, std::move(outstanding), peer.heard);
   if (this->on_report) {
     this->on_report();
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -14,6 +13,7 @@
 
 #include "LibCore/result.h"
 #include "LibCore/time.h"
+#include "LibMessages/messages.h"
 #include "LibServing/peer_items.h"
 #include "LibServing/replica_loads.h"
 
@@ -42,9 +42,10 @@
     this->on_report = std::move(callback);
   }
 
-  /// Tells which batch items this host runs.
-  void set_own_items(std::function<std::vector<std::uint64_t>()> callback) {
-    this->own_items = std::move(callback);
+  /// Adds the batch items of this host to a report.
+  void set_add_items(
+      std::function<void(messages::OutstandingReport&)> callback) {
+    this->add_items = std::move(callback);
   }
 
   const std::string& own_address() const { return this->own; }
@@ -74,7 +75,7 @@
   boost::asio::ip::udp::endpoint source;
   std::array<char, 65536> buffer{};
   std::function<void()> on_report;
-  std::function<std::vector<std::uint64_t>()> own_items;
+  std::function<void(messages::OutstandingReport&)> add_items;
   TimePoint last_sent{};
   bool has_change = false;
   bool is_stopped = false;
--- a/Tests/LibServing/batch_board_test.cc
+++ b/Tests/LibServing/batch_board_test.cc
@@ -256,7 +256,7 @@
 TEST(BatchQueue_TwoJobs, ItemOfTheJobThatIsDueFirstGoesNext) {
   const auto item = this->queue.Next(this->board, this->config, this->peers,
                                      this->now, this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "early", .item = 0}));
 }
 
 // Guards against a backlog in which every job is late: the load is twice what
@@ -265,11 +265,23 @@
   this->unix_now = 1000 + 13500;
   auto item = this->queue.Next(this->board, this->config, this->peers,
                                this->now, this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "late", .item = 0}));
   this->unix_now = 2000 + 14000;
   item = this->queue.Next(this->board, this->config, this->peers, this->now,
                           this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 0}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "early", .item = 0}));
+}
+
+// Guards against slots that go to any host instead of the one whose items are
+// due first, and against waiting for a host that has gone.
+TEST(BatchQueue_TwoJobs, MostUrgentWaitingItemOfLivePeersIsKnown) {
+  this->peers.OnReport("a", {}, 0, this->now);
+  CHECK_FALSE(this->peers.EarliestDue(this->now).has_value());
+  this->peers.OnReport("a", {}, 5000, this->now);
+  this->peers.OnReport("b", {}, 4000, this->now);
+  CHECK_EQUAL(4000, *this->peers.EarliestDue(this->now));
+  CHECK_FALSE(
+      this->peers.EarliestDue(this->now + std::chrono::seconds(2)).has_value());
 }
 
 // Guards against giving up on an item that is nearly done.
@@ -291,12 +303,12 @@
   this->queue.SetFinished({.job = "early", .item = 1});
   auto item = this->queue.Next(this->board, this->config, this->peers,
                                this->now, this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 0}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "late", .item = 0}));
   this->queue.Progress({.job = "late", .item = 0}).not_before =
       this->now + std::chrono::seconds(1);
   item = this->queue.Next(this->board, this->config, this->peers, this->now,
                           this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "late", .item = 1}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "late", .item = 1}));
 }
 
 // Guards against running jobs that the store has dealt to another host.
@@ -312,14 +324,14 @@
 // its job before, and against an item that waits for a host that has gone.
 TEST(BatchQueue_TwoJobs, ItemsOfALivePeerAreLeftAlone) {
   const ItemReference first{.job = "early", .item = 0};
-  this->peers.OnReport("peer", {first.Hash()}, this->now);
+  this->peers.OnReport("peer", {first.Hash()}, 0, this->now);
   auto item = this->queue.Next(this->board, this->config, this->peers,
                                this->now, this->unix_now);
-  CHECK_TRUE(item == (ItemReference{.job = "early", .item = 1}));
+  CHECK_TRUE(item->item == (ItemReference{.job = "early", .item = 1}));
   this->now += std::chrono::seconds(2);
   item = this->queue.Next(this->board, this->config, this->peers, this->now,
                           this->unix_now);
-  CHECK_TRUE(item == first);
+  CHECK_TRUE(item->item == first);
 }
 
 // Guards against items that stay open for ever, and against giving them up
