Add a fault soak of the gateways as processes

Change: crocus-soak runs gateways before stand-ins of store and replicas, with loopback proxies that delay, hold one way, silence, reset and refuse, signals that kill, pause, stop and hang up, and stores and replicas that misbehave; it checks what callers and replicas see.

--- /dev/null
+++ b/Tests/Soak/fault_proxy.h
@@ -0,0 +1,54 @@
+#ifndef TESTS_SOAK_FAULT_PROXY_H_
+#define TESTS_SOAK_FAULT_PROXY_H_
+
+#include <cstdint>
+#include <memory>
+#include <set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/time.h"
+
+namespace crocus {
+
+/// What a proxy does to the bytes that pass it.
+struct ProxyFaults {
+  Duration delay{};
+  /// Bytes towards the server, or back from it, are held without a close.
+  bool holds_requests = false;
+  bool holds_responses = false;
+  /// New connections are reset.
+  bool refuses = false;
+};
+
+/// A loopback proxy before one server. Bytes that are held are passed on when
+/// the fault ends, as after a partition.
+class FaultProxy {
+ public:
+  FaultProxy(boost::asio::io_context& loop, std::uint16_t server_port);
+  ~FaultProxy();
+
+  std::uint16_t port() const { return this->acceptor.local_endpoint().port(); }
+  void set_faults(const ProxyFaults& faults);
+  /// Resets all open connections.
+  void ResetConnections();
+  /// Holds both directions of the connections that are open now, for good.
+  void SilenceConnections();
+
+ private:
+  class Link;
+
+  void Accept();
+
+  boost::asio::io_context& loop;
+  boost::asio::ip::tcp::acceptor acceptor;
+  const std::uint16_t server_port;
+  ProxyFaults faults;
+  std::set<std::shared_ptr<Link>> links;
+};
+
+}  // namespace crocus
+
+#endif  // TESTS_SOAK_FAULT_PROXY_H_
--- /dev/null
+++ b/Tests/Soak/main.cc
@@ -0,0 +1,74 @@
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <string>
+
+#include <cxxopts.hpp>
+
+#include "LibEvents/event_log.h"
+#include "Soak/soak.h"
+
+namespace {
+
+int Run(int argument_count, char** arguments) {
+  cxxopts::Options options(
+      "crocus-soak",
+      "Runs gateways as processes on loopback under random faults and checks "
+      "the\npromises of docs/guarantees.md from what callers and replicas "
+      "see.\nExit codes: 0 all held, 1 one was broken, 2 wrong usage.\n\n"
+      "  crocus-soak --seed 7 --seconds 20 --keep /tmp/soak-7\n");
+  options.add_options()("seed", "seed of the faults",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "time with faults",
+      cxxopts::value<std::uint32_t>()->default_value("20"))(
+      "processes", "number of gateways",
+      cxxopts::value<std::uint32_t>()->default_value("3"))(
+      "replicas", "number of replicas",
+      cxxopts::value<std::uint32_t>()->default_value("6"))(
+      "callers", "number of callers",
+      cxxopts::value<std::uint32_t>()->default_value("12"))(
+      "keep", "directory for the logs of a failed run",
+      cxxopts::value<std::string>()->default_value(""))(
+      "verbose", "print each fault")("help", "show this text");
+  try {
+    const auto parsed = options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help();
+      return 0;
+    }
+    const auto seed = parsed["seed"].as<std::uint64_t>();
+    crocus::Soak soak({.seed = seed,
+                       .duration = std::chrono::seconds(
+                           parsed["seconds"].as<std::uint32_t>()),
+                       .gateways = parsed["processes"].as<std::uint32_t>(),
+                       .replicas = parsed["replicas"].as<std::uint32_t>(),
+                       .callers = parsed["callers"].as<std::uint32_t>(),
+                       .is_verbose = parsed.count("verbose") > 0});
+    const auto broken = soak.Run();
+    for (const auto& [outcome, count] : soak.checks().counts()) {
+      std::cout << outcome << ": " << count << "\n";
+    }
+    std::cout << "jobs accepted: " << soak.checks().accepted().size() << "\n";
+    if (!broken) {
+      std::cout << "all promises held, seed " << seed << "\n";
+      return 0;
+    }
+    std::cout << "broken promise: " << *broken << "\nseed: " << seed << "\n";
+    if (const auto keep = parsed["keep"].as<std::string>(); !keep.empty()) {
+      std::filesystem::create_directories(keep);
+      for (const auto& [name, log] : soak.Logs()) {
+        std::ofstream(keep + "/" + name + ".log") << log;
+      }
+    }
+    return 1;
+  } catch (const cxxopts::exceptions::exception& exception) {
+    std::cerr << "crocus-soak: " << exception.what() << "\n";
+    return 2;
+  }
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  return Run(argument_count, arguments);
+}
--- /dev/null
+++ b/Tests/Soak/soak.cc
@@ -0,0 +1,506 @@
+#include "Soak/soak.h"
+
+#include <signal.h>
+
+#include <iostream>
+#include <utility>
+
+#include "platform/names.h"
+
+namespace crocus {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Patience of the callers, which is also the timeout of the routes.
+constexpr Duration kPatience = milliseconds(3000);
+/// On top of it: a loaded machine may be late by this much.
+constexpr Duration kLateSlack = milliseconds(2000);
+/// A gateway is without fault if no signal disturbed it for this long.
+constexpr Duration kCalmTime = milliseconds(6000);
+/// After the last fault, until all accepted work must be listed.
+constexpr Duration kFinishTime = std::chrono::seconds(40);
+
+RequestHead JobHead(const std::string& method,
+                    const std::string& job,
+                    std::uint64_t after) {
+  RequestHead head{.method = method,
+                   .target = std::string(platform::call::kJobPrefix) + job};
+  if (method == "GET") {
+    head.target += "?after=" + std::to_string(after);
+  }
+  head.fields.Add("Host", "shop.example");
+  return head;
+}
+
+}  // namespace
+
+Soak::Soak(SoakOptions options)
+    : options(std::move(options)),
+      random(this->options.seed),
+      fleet({.seed = this->options.seed,
+             .batch_retention_seconds = 3600,
+             .timeout_milliseconds =
+                 static_cast<std::uint32_t>(kPatience.count() / 1000)}),
+      soak_checks(this->fleet) {}
+
+Soak::~Soak() {
+  for (const auto& gateway : this->gateways) {
+    if (gateway->state == ProcessState::kPaused) {
+      this->fleet.processes.Signal(gateway->name, SIGCONT);
+    }
+  }
+}
+
+std::map<std::string, std::string> Soak::Logs() const {
+  std::map<std::string, std::string> logs;
+  for (const auto& gateway : this->gateways) {
+    logs[gateway->name] = this->fleet.processes.LogOf(gateway->name);
+  }
+  return logs;
+}
+
+std::string Soak::NextId(const std::string& prefix) {
+  return prefix + std::to_string(this->options.seed) + "x" +
+         std::to_string(this->next_id++);
+}
+
+void Soak::Note(const std::string& fault) {
+  if (this->options.is_verbose) {
+    std::cout << BootTimeNow().time_since_epoch().count() / 1000 << " ms "
+              << fault << std::endl;
+  }
+}
+
+void Soak::After(Duration delay, std::function<void()> action) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(this->fleet.loop, delay);
+  this->timers.push_back(timer);
+  timer->async_wait(
+      [this, timer, action = std::move(action)](const auto& error) {
+        this->timers.remove(timer);
+        if (!error) {
+          action();
+        }
+      });
+}
+
+Soak::GatewayProcess& Soak::AnyGateway() {
+  return *this->gateways[this->random.Below(this->gateways.size())];
+}
+
+Duration Soak::FaultTime() {
+  return milliseconds(200 + this->random.Below(3500));
+}
+
+void Soak::StartFleet() {
+  for (std::uint32_t i = 0; i < this->options.replicas; ++i) {
+    const std::string endpoint = i % 3 == 2 ? "desk" : "model";
+    auto& standin =
+        this->fleet.AddReplica(endpoint, {.id = "i-" + std::to_string(i)});
+    auto proxy = std::make_unique<FaultProxy>(this->fleet.loop, standin.port());
+    this->fleet.RegisterReplica(standin.id(), endpoint, proxy->port(), "ready");
+    this->replicas.push_back(
+        {.standin = &standin, .endpoint = endpoint, .proxy = std::move(proxy)});
+  }
+  for (std::uint32_t i = 0; i < this->options.gateways; ++i) {
+    auto gateway = std::make_unique<GatewayProcess>();
+    gateway->name = "gateway-" + std::to_string(i);
+    gateway->store_proxy = std::make_unique<FaultProxy>(
+        this->fleet.loop, this->fleet.store.port());
+    this->fleet.StartGateway(gateway->name, gateway->store_proxy->port());
+    this->gateways.push_back(std::move(gateway));
+  }
+  for (const auto& gateway : this->gateways) {
+    this->fleet.RunUntil(
+        [this, &gateway] { return this->fleet.IsReady(gateway->name); });
+  }
+}
+
+void Soak::Send(std::uint32_t caller,
+                GatewayProcess& gateway,
+                RequestHead head,
+                std::string body,
+                std::function<void(const Result<FetchedResponse>&)> on_done) {
+  Fetch(this->fleet.loop, this->fleet.pool,
+        {.pool_key = gateway.name + "/" + std::to_string(caller),
+         .server = {boost::asio::ip::make_address("127.0.0.1"),
+                    this->fleet.CallerPort(gateway.name)},
+         .head = std::move(head),
+         .body = std::move(body),
+         .time_limit = kPatience + kLateSlack},
+        [this, caller, on_done = std::move(on_done)](const auto& reply) {
+          on_done(reply);
+          this->After(milliseconds(this->random.Below(60)),
+                      [this, caller] { this->RunCaller(caller); });
+        });
+}
+
+void Soak::RunCaller(std::uint32_t caller) {
+  if (this->is_ending) {
+    return;
+  }
+  GatewayProcess& gateway = this->AnyGateway();
+  const auto kind = this->random.Below(100);
+  if (kind < 4) {
+    this->Submit(caller, gateway);
+  } else if (kind < 25) {
+    this->ReadJob(caller, gateway);
+  } else {
+    this->SendOnline(caller, gateway);
+  }
+}
+
+void Soak::SendOnline(std::uint32_t caller, GatewayProcess& gateway) {
+  static const std::vector<std::string> kKinds = {"stream", "resumable",
+                                                  "plain", "once"};
+  const std::string kind = kKinds[this->random.Below(kKinds.size())];
+  const bool is_plain = kind == "plain" || kind == "once";
+  const std::string id = this->NextId(is_plain ? "plain" : "s");
+  const TimePoint sent = BootTimeNow();
+  this->Send(caller, gateway, GatewayFleet::Head(kind, id), "body of " + id,
+             [this, &gateway, kind, id, sent](const auto& reply) {
+               this->soak_checks.OnAnswer(kind, id, reply);
+               const TimePoint now = BootTimeNow();
+               if (!reply && reply.error().code == ErrorCode::kTimeout &&
+                   gateway.state == ProcessState::kRunning &&
+                   now - gateway.disturbed > kCalmTime) {
+                 this->soak_checks.OnLate(id, now - sent);
+               }
+             });
+}
+
+void Soak::Submit(std::uint32_t caller, GatewayProcess& gateway) {
+  const std::string job = this->NextId("job");
+  std::vector<std::string> items;
+  nlohmann::json list = nlohmann::json::array();
+  const auto count = 1 + this->random.Below(6);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    items.push_back(this->NextId(this->random.Chance(0.05) ? "poison" : "b"));
+    list.push_back({{"id", items.back()},
+                    {"path", "/batch/item"},
+                    {"headers", nlohmann::json::object()},
+                    {"body", "q83vEjRWeJA="},
+                    {"tokens", 100}});
+  }
+  this->Send(caller, gateway, GatewayFleet::Head("batch", job),
+             nlohmann::json{{"items", std::move(list)}}.dump(),
+             [this, job, items](const auto& reply) {
+               this->soak_checks.OnSubmitted(job, items, reply);
+             });
+}
+
+void Soak::ReadJob(std::uint32_t caller, GatewayProcess& gateway) {
+  const auto& jobs = this->soak_checks.accepted();
+  if (jobs.empty()) {
+    this->SendOnline(caller, gateway);
+    return;
+  }
+  auto job = jobs.begin();
+  std::advance(job,
+               static_cast<std::ptrdiff_t>(this->random.Below(jobs.size())));
+  const std::string id = job->first;
+  if (this->random.Chance(0.02)) {
+    this->soak_checks.OnEndAsked(id);
+    this->Send(caller, gateway, JobHead("DELETE", id, 0), "",
+               [](const auto&) {});
+    return;
+  }
+  const std::uint64_t after =
+      this->random.Below(this->soak_checks.listed(id) + 1);
+  this->Send(caller, gateway, JobHead("GET", id, after), "",
+             [this, id, after](const auto& reply) {
+               this->soak_checks.OnRead(id, after, reply);
+             });
+}
+
+void Soak::InjectFaults() {
+  if (this->is_ending) {
+    return;
+  }
+  this->InjectFault();
+  this->RestartEnded();
+  this->After(milliseconds(100 + this->random.Below(900)),
+              [this] { this->InjectFaults(); });
+}
+
+void Soak::InjectFault() {
+  Replica& replica = this->replicas[this->random.Below(this->replicas.size())];
+  switch (this->random.Below(8)) {
+    case 0:
+    case 1:
+      this->DisturbGateway(this->AnyGateway());
+      return;
+    case 2:
+      this->DisturbStoreLink(this->AnyGateway());
+      return;
+    case 3:
+      this->DisturbStore();
+      return;
+    case 4:
+    case 5:
+      this->DisturbReplicaLink(replica);
+      return;
+    case 6:
+      this->DisturbReplica(replica);
+      return;
+    default:
+      this->Note("configuration");
+      this->fleet.PublishConfig(++this->config_version);
+      return;
+  }
+}
+
+void Soak::DisturbGateway(GatewayProcess& gateway) {
+  if (gateway.state != ProcessState::kRunning) {
+    return;
+  }
+  gateway.disturbed = BootTimeNow();
+  switch (this->random.Below(5)) {
+    case 0:
+      this->Note("kill " + gateway.name);
+      this->fleet.processes.Restart(gateway.name);
+      return;
+    case 1:
+      this->Note("pause " + gateway.name);
+      gateway.state = ProcessState::kPaused;
+      this->fleet.processes.Signal(gateway.name, SIGSTOP);
+      this->After(this->FaultTime(), [this, &gateway] {
+        if (gateway.state == ProcessState::kPaused) {
+          gateway.state = ProcessState::kRunning;
+          gateway.disturbed = BootTimeNow();
+          this->fleet.processes.Signal(gateway.name, SIGCONT);
+        }
+      });
+      return;
+    case 2:
+      this->Note("stop " + gateway.name);
+      gateway.state = ProcessState::kStopping;
+      this->fleet.processes.Signal(gateway.name, SIGTERM);
+      return;
+    case 3:
+      this->Note("hangup " + gateway.name);
+      this->fleet.processes.Signal(gateway.name, SIGHUP);
+      return;
+    default:
+      if (this->random.Chance(0.3)) {
+        this->Note("kill all gateways");
+        for (const auto& each : this->gateways) {
+          each->disturbed = BootTimeNow();
+          each->state = ProcessState::kRunning;
+          this->fleet.processes.Restart(each->name);
+        }
+      }
+      return;
+  }
+}
+
+void Soak::RestartEnded() {
+  for (const auto& gateway : this->gateways) {
+    if (gateway->state == ProcessState::kStopping &&
+        this->fleet.processes.Wait(gateway->name, milliseconds(0)) >= 0) {
+      gateway->state = ProcessState::kRunning;
+      gateway->disturbed = BootTimeNow();
+      this->fleet.processes.Restart(gateway->name);
+    }
+  }
+}
+
+void Soak::DisturbStoreLink(GatewayProcess& gateway) {
+  FaultProxy& proxy = *gateway.store_proxy;
+  ProxyFaults faults;
+  switch (this->random.Below(6)) {
+    case 0:
+      faults.delay = milliseconds(300);
+      break;
+    case 1:
+      faults.holds_requests = true;
+      break;
+    case 2:
+      faults.holds_responses = true;
+      break;
+    case 3:
+      faults.refuses = true;
+      proxy.ResetConnections();
+      break;
+    case 4:
+      proxy.ResetConnections();
+      break;
+    default:
+      proxy.SilenceConnections();
+      break;
+  }
+  this->Note("store link of " + gateway.name);
+  proxy.set_faults(faults);
+  this->After(this->FaultTime(), [&proxy] { proxy.set_faults({}); });
+}
+
+void Soak::DisturbStore() {
+  StoreFaults faults;
+  switch (this->random.Below(7)) {
+    case 0:
+      faults.refusal = 503;
+      break;
+    case 1:
+      faults.is_silent = true;
+      break;
+    case 2:
+      faults.delay = milliseconds(250);
+      break;
+    case 3:
+      faults.lost_answers = 0.5;
+      break;
+    case 4:
+      faults.refusal = 429;
+      break;
+    case 5:
+      this->fleet.store.Compact("keyed.crocus");
+      this->fleet.store.Compact("keyed.servers");
+      this->fleet.store.Compact("keyed.op");
+      break;
+    default:
+      this->fleet.store.Rebalance();
+      break;
+  }
+  this->Note("store");
+  this->fleet.store.set_faults(faults);
+  this->After(this->FaultTime(), [this] { this->fleet.store.set_faults({}); });
+}
+
+void Soak::DisturbReplicaLink(Replica& replica) {
+  FaultProxy& proxy = *replica.proxy;
+  ProxyFaults faults;
+  switch (this->random.Below(5)) {
+    case 0:
+      faults.delay = milliseconds(100);
+      break;
+    case 1:
+      faults.holds_requests = this->random.Chance(0.5);
+      faults.holds_responses = !faults.holds_requests;
+      break;
+    case 2:
+      faults.refuses = true;
+      break;
+    case 3:
+      proxy.ResetConnections();
+      break;
+    default:
+      proxy.SilenceConnections();
+      break;
+  }
+  this->Note("link of " + replica.standin->id());
+  proxy.set_faults(faults);
+  this->After(this->FaultTime(), [&proxy] { proxy.set_faults({}); });
+}
+
+void Soak::DisturbReplica(Replica& replica) {
+  ReplicaFaults faults;
+  switch (this->random.Below(7)) {
+    case 0:
+      faults.breaks = 0.5;
+      break;
+    case 1:
+      faults.lost_answers = 0.5;
+      break;
+    case 2:
+      faults.repeats = 0.5;
+      break;
+    case 3:
+      faults.unsealed = 0.5;
+      break;
+    case 4:
+      faults.is_mute = true;
+      break;
+    case 5: {
+      this->Note("drain " + replica.standin->id());
+      this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
+                                  replica.proxy->port(), "draining");
+      this->After(this->FaultTime(), [this, &replica] {
+        this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
+                                    replica.proxy->port(), "ready");
+      });
+      return;
+    }
+    default:
+      this->fleet.UnregisterReplica(replica.standin->id());
+      this->After(this->FaultTime(), [this, &replica] {
+        this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
+                                    replica.proxy->port(), "ready");
+      });
+      return;
+  }
+  this->Note("replica " + replica.standin->id());
+  replica.standin->set_faults(faults);
+  this->After(this->FaultTime(),
+              [&replica] { replica.standin->set_faults({}); });
+}
+
+void Soak::EndFaults() {
+  this->is_ending = true;
+  for (const auto& timer : std::list(this->timers)) {
+    timer->cancel();
+  }
+  this->fleet.store.set_faults({});
+  for (const auto& replica : this->replicas) {
+    replica.proxy->set_faults({});
+    replica.standin->set_faults({});
+    this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
+                                replica.proxy->port(), "ready");
+  }
+  for (const auto& gateway : this->gateways) {
+    gateway->store_proxy->set_faults({});
+    if (std::exchange(gateway->state, ProcessState::kRunning) ==
+        ProcessState::kPaused) {
+      this->fleet.processes.Signal(gateway->name, SIGCONT);
+    }
+    // A process that was told to stop ends; all are fresh from here on.
+    this->fleet.processes.Restart(gateway->name);
+  }
+}
+
+void Soak::ReadUnfinishedJobs() {
+  for (const auto& [job, items] : this->soak_checks.accepted()) {
+    if (this->soak_checks.listed(job) >= items.size()) {
+      continue;
+    }
+    const auto reply =
+        this->fleet.Send(this->AnyGateway().name, JobHead("GET", job, 0));
+    this->soak_checks.OnRead(job, 0, reply);
+  }
+}
+
+std::optional<std::string> Soak::Run() {
+  this->StartFleet();
+  for (std::uint32_t caller = 0; caller < this->options.callers; ++caller) {
+    this->RunCaller(caller);
+  }
+  this->InjectFaults();
+  const TimePoint end = BootTimeNow() + this->options.duration;
+  TimePoint next_check = BootTimeNow();
+  this->fleet.RunUntil(
+      [this, end, &next_check] {
+        const TimePoint now = BootTimeNow();
+        if (now >= next_check) {
+          next_check = now + std::chrono::seconds(1);
+          this->soak_checks.CheckRuns();
+        }
+        return now >= end || this->soak_checks.broken().has_value();
+      },
+      this->options.duration + std::chrono::seconds(5));
+  if (this->soak_checks.broken()) {
+    return this->soak_checks.broken();
+  }
+  this->EndFaults();
+  const TimePoint finish = BootTimeNow() + kFinishTime;
+  while (BootTimeNow() < finish && !this->soak_checks.broken() &&
+         !this->soak_checks.IsAllListed()) {
+    this->fleet.RunFor(milliseconds(300));
+    this->ReadUnfinishedJobs();
+  }
+  this->soak_checks.CheckAllListed();
+  this->soak_checks.CheckRuns();
+  return this->soak_checks.broken();
+}
+
+}  // namespace crocus
--- /dev/null
+++ b/Tests/Soak/soak.h
@@ -0,0 +1,103 @@
+#ifndef TESTS_SOAK_SOAK_H_
+#define TESTS_SOAK_SOAK_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "LibCore/random.h"
+#include "PlatformStandin/gateway_fleet.h"
+#include "Soak/fault_proxy.h"
+#include "Soak/soak_checks.h"
+
+namespace crocus {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  Duration duration = std::chrono::seconds(20);
+  std::uint32_t gateways = 3;
+  std::uint32_t replicas = 5;
+  std::uint32_t callers = 12;
+  /// Prints each fault as it begins.
+  bool is_verbose = false;
+};
+
+/// Runs gateways as processes under random faults, which a seed decides, and
+/// checks what callers and replicas see.
+class Soak {
+ public:
+  explicit Soak(SoakOptions options);
+  ~Soak();
+
+  /// The first broken promise, or none.
+  std::optional<std::string> Run();
+
+  const SoakChecks& checks() const { return this->soak_checks; }
+  /// Logs of a process, for a failed run.
+  std::map<std::string, std::string> Logs() const;
+
+ private:
+  enum class ProcessState { kRunning, kPaused, kStopping };
+  struct GatewayProcess {
+    std::string name;
+    std::unique_ptr<FaultProxy> store_proxy;
+    ProcessState state = ProcessState::kRunning;
+    /// When a signal last disturbed it.
+    TimePoint disturbed{};
+  };
+  struct Replica {
+    ReplicaStandin* standin = nullptr;
+    std::string endpoint;
+    std::unique_ptr<FaultProxy> proxy;
+  };
+
+  void StartFleet();
+  void After(Duration delay, std::function<void()> action);
+  /// One caller: sends a request, and the next one when it has ended.
+  void RunCaller(std::uint32_t caller);
+  void SendOnline(std::uint32_t caller, GatewayProcess& gateway);
+  void Submit(std::uint32_t caller, GatewayProcess& gateway);
+  void ReadJob(std::uint32_t caller, GatewayProcess& gateway);
+  void ReadUnfinishedJobs();
+  void Send(std::uint32_t caller,
+            GatewayProcess& gateway,
+            RequestHead head,
+            std::string body,
+            std::function<void(const Result<FetchedResponse>&)> on_done);
+
+  void InjectFaults();
+  void InjectFault();
+  void DisturbGateway(GatewayProcess& gateway);
+  void DisturbStoreLink(GatewayProcess& gateway);
+  void DisturbStore();
+  void DisturbReplicaLink(Replica& replica);
+  void DisturbReplica(Replica& replica);
+  void EndFaults();
+  void RestartEnded();
+  void Note(const std::string& fault);
+  std::string NextId(const std::string& prefix);
+  GatewayProcess& AnyGateway();
+  Duration FaultTime();
+
+  const SoakOptions options;
+  Random random;
+  GatewayFleet fleet;
+  SoakChecks soak_checks;
+  std::vector<std::unique_ptr<GatewayProcess>> gateways;
+  std::vector<Replica> replicas;
+  std::list<std::shared_ptr<boost::asio::steady_timer>> timers;
+  std::uint64_t next_id = 0;
+  std::uint64_t config_version = 7;
+  bool is_ending = false;
+};
+
+}  // namespace crocus
+
+#endif  // TESTS_SOAK_SOAK_H_
