Suspect replicas that fail part of their requests, and those that owe an answer

Change: hosts report failures of the last 4 s; a replica with far more than the others costs 200 ms more for online requests; one whose oldest request waits over 80 ms costs that wait.

--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -10,6 +10,7 @@
 #include "LibMetrics/request_metrics.h"
 #include "LibServing/placement.h"
 #include "LibServing/replica_directory.h"
+#include "LibServing/replica_health.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -21,6 +22,7 @@
   ConnectionPool& pool;
   ReplicaDirectory& directory;
   ReplicaLoads& loads;
+  ReplicaHealth& health;
   Placement& placement;
   RequestMetrics& metrics;
   /// Longest time for a connection to a replica to open.
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -15,6 +15,7 @@
 #include "LibCore/time.h"
 #include "LibMessages/messages.h"
 #include "LibServing/peer_items.h"
+#include "LibServing/replica_health.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -25,6 +26,7 @@
  public:
   PeerExchange(boost::asio::io_context& loop,
                ReplicaLoads& loads,
+               ReplicaHealth& health,
                PeerItems& items);
 
   /// Fails with kUnavailable if the port cannot be opened.
@@ -65,6 +67,7 @@
   void Schedule(Duration pause);
 
   ReplicaLoads& loads;
+  ReplicaHealth& health;
   PeerItems& items;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
