--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -159,8 +159,6 @@
       return "settings_reloaded";
     case Event::kGroupJoinFailed:
       return "group_join_failed";
-    case Event::kReplicaSuspected:
-      return "replica_suspected";
   }
   return "unknown";
 }
@@ -236,7 +234,6 @@
     case Event::kBatchAppendFailed:
     case Event::kPeerReportRejected:
     case Event::kGroupJoinFailed:
-    case Event::kReplicaSuspected:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -88,7 +88,6 @@
   kPeerReportRejected = 731,
   kSettingsReloaded = 732,
   kGroupJoinFailed = 733,
-  kReplicaSuspected = 734,
 };
 
 /// Returns the event's name in the catalogue, such as "entry_started".
--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -546,14 +546,12 @@
   std::string replica{};
   std::uint16_t online{0};
   std::uint16_t batch{0};
-  /// Requests that failed there within the last seconds.
-  std::uint16_t failures{0};
 
   bool operator==(const ReplicaOutstanding&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(replica, online, batch, failures);
+    archive(replica, online, batch);
   }
 };
 
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -11,15 +11,6 @@
 /// Service time of an endpoint that has not served yet.
 constexpr double kInitialServiceSeconds = 0.3;
 constexpr double kNewestServiceWeight = 0.05;
-/// Seconds that a full load, and the random part, weigh among free replicas.
-constexpr double kLoadWeight = 0.002;
-constexpr double kSpreadWeight = 0.001;
-/// A response head is expected within this time from a replica with a free
-/// slot: a round trip between regions, the prompt, and some noise.
-constexpr Duration kUsualAnswerTime = std::chrono::milliseconds(80);
-/// A replica that fails part of its requests is still better than one whose
-/// queue makes the request late.
-constexpr Duration kSuspicionCost = std::chrono::milliseconds(200);
 /// Against a full load of 1.
 constexpr double kPreferenceWeight = 0.5;
 /// Load for each second of distance; 40 ms to another region weigh 0.2.
@@ -30,12 +21,10 @@
 Placement::Placement(PlacementOptions options,
                      const ReplicaDirectory& directory,
                      const ReplicaLoads& loads,
-                     const ReplicaHealth& health,
                      std::uint64_t seed)
     : options(std::move(options)),
       directory(directory),
       loads(loads),
-      health(health),
       random(seed) {}
 
 Duration Placement::DistanceCost(const ReplicaRecord& replica) const {
@@ -49,12 +38,6 @@
              : this->options.other_region_cost;
 }
 
-Duration Placement::Overdue(const ReplicaRecord& replica, TimePoint now) const {
-  return std::max(
-      Duration::zero(),
-      this->loads.OldestUnanswered(replica.id, now) - kUsualAnswerTime);
-}
-
 std::vector<const ReplicaRecord*> Placement::Candidates(
     const std::string& endpoint,
     const std::set<std::string>& tried,
@@ -86,14 +69,11 @@
     const std::uint32_t ahead =
         load.total() < replica->slots ? 0 : load.total() - replica->slots + 1;
     const Duration wait = service_time * ahead / replica->slots;
-    const Duration suspicion = this->health.IsSuspected(replica->id, now)
-                                   ? kSuspicionCost
-                                   : Duration::zero();
-    const double cost =
-        ToSeconds(wait + suspicion + this->DistanceCost(*replica) +
-                  this->Overdue(*replica, now)) +
-        kLoadWeight * load.total() / replica->slots +
-        kSpreadWeight * this->random.Unit();
+    // Among replicas with a free slot, the emptier one is a little faster.
+    // The random part spreads the choices of hosts with the same view.
+    const double cost = ToSeconds(wait + this->DistanceCost(*replica)) +
+                        0.002 * load.total() / replica->slots +
+                        0.001 * this->random.Unit();
     if (!best || cost < best_cost) {
       best_cost = cost;
       best = PlacementChoice{.replica = replica->id,
@@ -116,7 +96,6 @@
   for (const auto* replica : this->Candidates(endpoint, excluded, now)) {
     const Outstanding load = this->loads.Total(replica->id, now);
     if (load.total() + reserve >= replica->slots ||
-        this->Overdue(*replica, now) > Duration::zero() ||
         this->loads.IsPaused(replica->id, now)) {
       continue;
     }
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -10,7 +10,6 @@
 #include "LibCore/random.h"
 #include "LibCore/time.h"
 #include "LibServing/replica_directory.h"
-#include "LibServing/replica_health.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -47,7 +46,6 @@
   Placement(PlacementOptions options,
             const ReplicaDirectory& directory,
             const ReplicaLoads& loads,
-            const ReplicaHealth& health,
             std::uint64_t seed);
 
   /// The replica that is expected to begin first with an online request,
@@ -75,8 +73,6 @@
 
  private:
   Duration DistanceCost(const ReplicaRecord& replica) const;
-  /// How much longer than usual the oldest request waits for its answer.
-  Duration Overdue(const ReplicaRecord& replica, TimePoint now) const;
   /// Records that were not tried, without the paused ones if others are left.
   std::vector<const ReplicaRecord*> Candidates(
       const std::string& endpoint,
@@ -86,7 +82,6 @@
   const PlacementOptions options;
   const ReplicaDirectory& directory;
   const ReplicaLoads& loads;
-  const ReplicaHealth& health;
   Random random;
   std::map<std::string, double> mean_service_seconds;
 };
--- a/Libraries/LibServing/replica_loads.cc
+++ b/Libraries/LibServing/replica_loads.cc
@@ -15,32 +15,11 @@
 
 }  // namespace
 
-void ReplicaLoads::OnSent(const std::string& replica,
-                          WorkClass work,
-                          TimePoint now) {
+void ReplicaLoads::OnSent(const std::string& replica, WorkClass work) {
   ++CountOf(this->own[replica], work);
-  this->unanswered[replica].insert(now);
 }
 
-void ReplicaLoads::OnAnswered(const std::string& replica, TimePoint sent) {
-  auto& times = this->unanswered[replica];
-  if (const auto found = times.find(sent); found != times.end()) {
-    times.erase(found);
-  }
-}
-
-Duration ReplicaLoads::OldestUnanswered(const std::string& replica,
-                                        TimePoint now) const {
-  const auto found = this->unanswered.find(replica);
-  return found == this->unanswered.end() || found->second.empty()
-             ? Duration::zero()
-             : now - *found->second.begin();
-}
-
-void ReplicaLoads::OnEnded(const std::string& replica,
-                           WorkClass work,
-                           TimePoint sent) {
-  this->OnAnswered(replica, sent);
+void ReplicaLoads::OnEnded(const std::string& replica, WorkClass work) {
   auto& count = CountOf(this->own[replica], work);
   VERIFY(count > 0);
   --count;
--- a/Libraries/LibServing/replica_loads.h
+++ b/Libraries/LibServing/replica_loads.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -41,16 +40,8 @@
  public:
   explicit ReplicaLoads(ReplicaLoadsOptions options = {}) : options(options) {}
 
-  void OnSent(const std::string& replica, WorkClass work, TimePoint now);
-  /// The head of the response to a request that was sent at that time is there.
-  void OnAnswered(const std::string& replica, TimePoint sent);
-  /// A request that was sent at that time has ended, answered or not.
-  void OnEnded(const std::string& replica, WorkClass work, TimePoint sent);
-
-  /// How long the oldest request of this host waits for its response head. It
-  /// shows what no report does: requests of hosts that are gone, a replica that
-  /// has become slow or silent.
-  Duration OldestUnanswered(const std::string& replica, TimePoint now) const;
+  void OnSent(const std::string& replica, WorkClass work);
+  void OnEnded(const std::string& replica, WorkClass work);
 
   /// The connection could not be opened.
   void OnUnreachable(const std::string& replica, TimePoint now);
@@ -88,8 +79,6 @@
 
   const ReplicaLoadsOptions options;
   std::map<std::string, Outstanding> own;
-  /// When the requests were sent that have no response head yet.
-  std::map<std::string, std::multiset<TimePoint>> unanswered;
   std::map<std::string, Health> health;
   std::map<std::string, PeerReport> peers;
 };
--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -10,7 +10,6 @@
 #include "LibMetrics/request_metrics.h"
 #include "LibServing/placement.h"
 #include "LibServing/replica_directory.h"
-#include "LibServing/replica_health.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -22,7 +21,6 @@
   ConnectionPool& pool;
   ReplicaDirectory& directory;
   ReplicaLoads& loads;
-  ReplicaHealth& health;
   Placement& placement;
   RequestMetrics& metrics;
   /// Longest time for a connection to a replica to open.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -92,14 +92,12 @@
       placement(MakePlacementOptions(this->settings),
                 this->directory,
                 this->loads,
-                this->health,
                 SystemRandom()),
       random(SystemRandom()),
       context{.loop = loop,
               .pool = this->pool,
               .directory = this->directory,
               .loads = this->loads,
-              .health = this->health,
               .placement = this->placement,
               .metrics = this->metrics,
               .connect_time = this->settings.limits.connect_time,
@@ -109,7 +107,7 @@
                     return BootTimeNow() -
                            this->server_follower->current_as_of();
                   }},
-      peers(loop, this->loads, this->health, this->peer_items),
+      peers(loop, this->loads, this->peer_items),
       callers(
           loop,
           [this] { return this->CallerLimits(); },
@@ -267,7 +265,6 @@
               {"state", decoded->is_draining ? "draining" : "ready"},
               {"reason", "registry"}});
     this->loads.Forget(record.key);
-    this->health.Forget(record.key);
   }
   this->directory.Update(*decoded);
 }
@@ -363,24 +360,7 @@
                    std::move(text));
 }
 
-void Gateway::SuspectFailingReplicas() {
-  if (!this->config) {
-    return;
-  }
-  for (const auto& endpoint : this->config->endpoints) {
-    std::vector<std::string> names;
-    for (const auto* replica : this->directory.Available(endpoint.name)) {
-      names.push_back(replica->id);
-    }
-    for (const auto& replica : this->health.Evaluate(names, BootTimeNow())) {
-      LogEvent(Event::kReplicaSuspected,
-               {{"replica", replica}, {"endpoint", endpoint.name}});
-    }
-  }
-}
-
 void Gateway::Tick() {
-  this->SuspectFailingReplicas();
   for (const auto& replica : this->directory.DropLapsed(BootTimeNow())) {
     LogEvent(Event::kReplicaChanged, {{"replica", replica},
                                       {"state", "gone"},
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -50,8 +50,6 @@
   /// Logs the answer to readiness checks if it has changed.
   void NoteReadiness();
   void Tick();
-  /// Suspects replicas that fail more than the others of their endpoint.
-  void SuspectFailingReplicas();
   void CheckShutdown();
 
   boost::asio::io_context& loop;
@@ -60,7 +58,6 @@
   ConnectionPool pool;
   ReplicaDirectory directory;
   ReplicaLoads loads;
-  ReplicaHealth health;
   PeerItems peer_items;
   Placement placement;
   RequestMetrics metrics;
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -31,10 +31,8 @@
 
 PeerExchange::PeerExchange(boost::asio::io_context& loop,
                            ReplicaLoads& loads,
-                           ReplicaHealth& health,
                            PeerItems& items)
     : loads(loads),
-      health(health),
       items(items),
       socket(loop),
       timer(loop),
@@ -102,16 +100,10 @@
   this->last_sent = BootTimeNow();
   messages::OutstandingReport report{.sender = this->sender,
                                      .sequence = ++this->sequence};
-  auto failures = this->health.OwnFailures(this->last_sent);
   for (const auto& [replica, outstanding] : this->loads.OwnLoads()) {
     report.replicas.push_back({.replica = replica,
                                .online = Clamp16(outstanding.online),
-                               .batch = Clamp16(outstanding.batch),
-                               .failures = Clamp16(failures[replica])});
-    failures.erase(replica);
-  }
-  for (const auto& [replica, count] : failures) {
-    report.replicas.push_back({.replica = replica, .failures = Clamp16(count)});
+                               .batch = Clamp16(outstanding.batch)});
   }
   if (this->add_items) {
     this->add_items(report);
@@ -168,15 +160,10 @@
   peer.sequence = report->sequence;
   peer.heard = BootTimeNow();
   std::map<std::string, Outstanding> outstanding;
-  std::map<std::string, std::uint32_t> failures;
   for (const auto& replica : report->replicas) {
     outstanding[replica.replica] = {.online = replica.online,
                                     .batch = replica.batch};
-    if (replica.failures > 0) {
-      failures[replica.replica] = replica.failures;
-    }
   }
-  this->health.OnPeerReport(address, std::move(failures), peer.heard);
   this->items.OnReport(address, {report->items.begin(), report->items.end()},
                        report->next_due_ms, peer.heard);
   this->loads.OnPeerReport(address, std::move(outstanding), peer.heard);
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -15,7 +15,6 @@
 #include "LibCore/time.h"
 #include "LibMessages/messages.h"
 #include "LibServing/peer_items.h"
-#include "LibServing/replica_health.h"
 #include "LibServing/replica_loads.h"
 
 namespace crocus {
@@ -26,7 +25,6 @@
  public:
   PeerExchange(boost::asio::io_context& loop,
                ReplicaLoads& loads,
-               ReplicaHealth& health,
                PeerItems& items);
 
   /// Fails with kUnavailable if the port cannot be opened.
@@ -67,7 +65,6 @@
   void Schedule(Duration pause);
 
   ReplicaLoads& loads;
-  ReplicaHealth& health;
   PeerItems& items;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -9,16 +9,6 @@
 
 namespace crocus {
 
-namespace {
-
-constexpr std::uint32_t kRedirection = 300;
-constexpr std::uint32_t kServerError = 500;
-/// An attempt that is given up without an answer after this time counts as
-/// failed. Shorter ones were given up by the caller.
-constexpr Duration kSilentTime = std::chrono::seconds(1);
-
-}  // namespace
-
 ReplicaAttempt::ReplicaAttempt(ForwardingContext& context,
                                AttemptOptions options)
     : context(context), options(std::move(options)) {}
@@ -38,8 +28,7 @@
     return;
   }
   this->is_counted = true;
-  this->context.loads.OnSent(this->options.replica, this->options.work,
-                             this->start_time);
+  this->context.loads.OnSent(this->options.replica, this->options.work);
   this->context.on_load_change();
   const auto self = this->shared_from_this();
   ExchangeEvents events{
@@ -65,17 +54,10 @@
   if (answer.is_stray) {
     return HeadDecision::kSkip;
   }
-  if (!std::exchange(this->is_answered, true)) {
-    this->context.loads.OnAnswered(this->options.replica, this->start_time);
-  }
   if (answer.is_not_run) {
     this->refusal = "replica answered " + std::to_string(head.status);
     return HeadDecision::kAccept;
   }
-  // Batch items may fail at every replica, so their errors say nothing of it.
-  this->has_failed_answer = this->options.work == WorkClass::kOnline &&
-                            (head.status >= kServerError ||
-                             (head.status < kRedirection && !answer.is_sealed));
   this->options.on_head(head, answer);
   return HeadDecision::kAccept;
 }
@@ -99,9 +81,6 @@
   } else if (end != ExchangeEnd::kComplete) {
     result.verdict = Verdict::kMayHaveRun;
     this->context.loads.OnFailure(this->options.replica, now);
-    this->context.health.OnFailure(this->options.replica, now);
-  } else if (this->has_failed_answer) {
-    this->context.health.OnFailure(this->options.replica, now);
   } else {
     this->context.loads.OnSuccess(this->options.replica);
   }
@@ -116,11 +95,6 @@
     return;
   }
   this->is_ended = true;
-  const TimePoint now = BootTimeNow();
-  if (this->is_counted && !this->is_answered &&
-      now - this->start_time > kSilentTime) {
-    this->context.health.OnFailure(this->options.replica, now);
-  }
   if (this->connection) {
     this->connection->Cancel();
   }
@@ -130,9 +104,7 @@
 void ReplicaAttempt::Release() {
   this->connection.reset();
   if (std::exchange(this->is_counted, false)) {
-    this->context.loads.OnEnded(this->options.replica, this->options.work,
-                                this->start_time);
-    this->is_answered = true;
+    this->context.loads.OnEnded(this->options.replica, this->options.work);
     this->context.on_load_change();
   }
 }
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -62,8 +62,6 @@
   /// Reason of a response that says that the request was not run.
   std::string refusal;
   bool is_counted = false;
-  bool is_answered = false;
-  bool has_failed_answer = false;
   bool is_ended = false;
 };
 
--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -15,14 +15,12 @@
 TEST_GROUP(Placement_ThreeZones) {
   ReplicaDirectory directory;
   ReplicaLoads loads;
-  ReplicaHealth health;
   Placement placement{{.host = "host",
                        .availability_zone = "z1",
                        .region = "r1",
                        .regions = {{"z1", "r1"}, {"z2", "r1"}, {"z3", "r2"}}},
                       this->directory,
                       this->loads,
-                      this->health,
                       1};
 
   void setup() override {
@@ -36,7 +34,7 @@
 
   void Fill(const std::string& replica, WorkClass work, int count) {
     for (int i = 0; i < count; ++i) {
-      this->loads.OnSent(replica, work, kStart);
+      this->loads.OnSent(replica, work);
     }
   }
 
@@ -69,20 +67,6 @@
   STRCMP_EQUAL("z1", later->replica.c_str());
 }
 
-// Guards against sending more requests to a replica that does not answer: one
-// that is slow or silent, or full of requests of hosts that have lost power.
-TEST(Placement_ThreeZones, ReplicaThatOwesAnAnswerIsAvoided) {
-  this->loads.OnSent("z1", WorkClass::kOnline, kStart);
-  const TimePoint later = kStart + std::chrono::milliseconds(300);
-  STRCMP_EQUAL(
-      "z2", this->placement.ChooseOnline("model", {}, later)->replica.c_str());
-  this->loads.OnAnswered("z1", kStart);
-  STRCMP_EQUAL(
-      "z1", this->placement.ChooseOnline("model", {}, later)->replica.c_str());
-  this->loads.OnEnded("z1", WorkClass::kOnline, kStart);
-  CHECK_EQUAL(0U, this->loads.Own("z1").total());
-}
-
 // Guards against sending requests to replicas that cannot be reached, and
 // against having none when all of them are paused.
 TEST(Placement_ThreeZones, PausedReplicaIsAvoidedUnlessAllArePaused) {
@@ -121,7 +105,7 @@
     if (!answer.is_admitted) {
       break;
     }
-    this->loads.OnSent(choice->replica, WorkClass::kOnline, kStart);
+    this->loads.OnSent(choice->replica, WorkClass::kOnline);
     ++admitted;
   }
   // The twelve slots turn over once in the initial service time of 300 ms.
