--- a/Libraries/LibServing/event_stream.cc
+++ b/Libraries/LibServing/event_stream.cc
@@ -67,10 +67,10 @@
 
 std::vector<StreamEvent> EventStream::Feed(std::string_view bytes) {
   this->pending += bytes;
+  const std::string_view text = this->pending;
   std::vector<StreamEvent> events;
   std::size_t start = 0;
-  while (const auto length =
-             EventEnd(std::string_view(this->pending).substr(start))) {
+  while (const auto length = EventEnd(text.substr(start))) {
     events.push_back(ParseEvent(this->pending.substr(start, *length)));
     start += *length;
   }
--- a/Libraries/LibServing/peer_items.h
+++ b/Libraries/LibServing/peer_items.h
@@ -1,12 +1,12 @@
 #ifndef LIBSERVING_PEER_ITEMS_H_
 #define LIBSERVING_PEER_ITEMS_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 
 #include "LibCore/time.h"
 
@@ -20,7 +20,10 @@
   /// Names the item in the reports between hosts.
   std::uint64_t Hash() const;
 
-  auto operator<=>(const ItemReference&) const = default;
+  bool operator==(const ItemReference&) const = default;
+  bool operator<(const ItemReference& other) const {
+    return std::tie(this->job, this->item) < std::tie(other.job, other.item);
+  }
 };
 
 /// The batch items that other hosts run, and when the most urgent ones are due
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -42,8 +42,7 @@
                            const PeerItems& peer_items,
                            ConfigSource config,
                            BatchServiceOptions options)
-    : context(context),
-      store(store),
+    : store(store),
       config(config),
       options(std::move(options)),
       writer(context.loop,
@@ -119,7 +118,7 @@
       kTopic,
       {{.key = std::string(kPeerPrefix) + this->options.peer_address,
         .value = this->options.host_name}},
-      [this](auto reply) {
+      [](auto reply) {
         if (!reply) {
           // Peers learn the address from this host's reports as well.
           LogEvent(Event::kBatchAppendFailed,
--- a/Services/Gateway/batch_service.h
+++ b/Services/Gateway/batch_service.h
@@ -99,7 +99,6 @@
   void ScheduleJoin();
   void DropExpiredJobs();
 
-  ForwardingContext& context;
   platform::StoreClient& store;
   const ConfigSource config;
   const BatchServiceOptions options;
