Keep texts of items that are longer than a record of the store

Cause: found by reading: a text above the store's record size would be refused by the store and tried without end, before all later results of that host. Change: such a text goes into parts before the record of the result, as bodies do.

--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -649,13 +649,18 @@
   std::uint32_t item{0};
   /// False if the item was given up.
   bool completed{false};
+  /// Empty if the text has records of its own.
   std::string text{};
+  /// Part of the keys of those records.
+  std::string tag{};
+  /// Number of records that hold the text; they come before this one.
+  std::uint32_t text_parts{0};
 
   bool operator==(const BatchItemFinished&) const = default;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(job, item, completed, text);
+    archive(job, item, completed, text, tag, text_parts);
   }
 };
 
--- a/Libraries/LibServing/batch_board.cc
+++ b/Libraries/LibServing/batch_board.cc
@@ -11,6 +11,7 @@
 
 constexpr std::string_view kJobKind = "job";
 constexpr std::string_view kBodyKind = "body";
+constexpr std::string_view kTextKind = "text";
 constexpr std::string_view kFinishedKind = "done";
 constexpr std::string_view kFailedKind = "fail";
 constexpr std::string_view kProgressKind = "part";
@@ -42,6 +43,14 @@
   return MakeKey(kFinishedKind, job, std::to_string(item) + "/" + tag);
 }
 
+std::string TextKey(const std::string& job,
+                    std::size_t item,
+                    const std::string& tag,
+                    std::size_t part) {
+  return MakeKey(kTextKind, job,
+                 std::to_string(item) + "/" + tag + "/" + std::to_string(part));
+}
+
 std::string FailedKey(const std::string& job,
                       std::size_t item,
                       const std::string& tag) {
@@ -74,14 +83,14 @@
   const std::string& job = parts[1];
   if (!record.value) {
     // Records are dropped only when their job has expired.
-    this->bodies.erase(record.key);
+    this->parts.erase(record.key);
     this->all.erase(job);
     this->keys.erase(job);
     return {};
   }
   this->keys[job].insert(record.key);
-  if (parts[0] == kBodyKind) {
-    this->bodies[record.key] = *record.value;
+  if (parts[0] == kBodyKind || parts[0] == kTextKind) {
+    this->parts[record.key] = *record.value;
     return {};
   }
   if (parts[0] == kJobKind) {
@@ -102,21 +111,29 @@
   return Failure(ErrorCode::kCorrupt, "unknown key");
 }
 
+template <typename KeyOf>
+Result<std::string> BatchBoard::TakeParts(std::size_t count, KeyOf key_of) {
+  std::string joined;
+  for (std::size_t part = 0; part < count; ++part) {
+    const auto found = this->parts.find(key_of(part));
+    if (found == this->parts.end()) {
+      return Failure(ErrorCode::kCorrupt, "a part is missing");
+    }
+    joined += found->second;
+    this->parts.erase(found);
+  }
+  return joined;
+}
+
 Result<void> BatchBoard::AcceptJob(const KeyedRecord& record) {
   TRY_ASSIGN(auto accepted, Decode<records::BatchJobAccepted>(*record.value));
   const bool is_first = !this->all.contains(accepted.job);
   BoardJob job;
   for (std::size_t i = 0; i < accepted.items.size(); ++i) {
     BoardItem item{.spec = accepted.items[i]};
-    for (std::size_t part = 0; part < item.spec.body_parts; ++part) {
-      const auto body =
-          this->bodies.find(BodyKey(accepted.job, accepted.tag, i, part));
-      if (body == this->bodies.end()) {
-        return Failure(ErrorCode::kCorrupt, "body is missing");
-      }
-      item.body += body->second;
-      this->bodies.erase(body);
-    }
+    TRY_ASSIGN(item.body, this->TakeParts(item.spec.body_parts, [&](auto part) {
+      return BodyKey(accepted.job, accepted.tag, i, part);
+    }));
     job.items.push_back(std::move(item));
   }
   if (is_first) {
@@ -133,6 +150,12 @@
   if (found == this->all.end() || finished.item >= found->second.items.size()) {
     return Failure(ErrorCode::kCorrupt, "result of an unknown item");
   }
+  auto text = this->TakeParts(finished.text_parts, [&](auto part) {
+    return TextKey(finished.job, finished.item, finished.tag, part);
+  });
+  if (!text) {
+    return tl::unexpected(std::move(text).error());
+  }
   BoardItem& item = found->second.items[finished.item];
   if (item.state != ItemState::kOpen) {
     return {};
@@ -140,6 +163,9 @@
   item.state =
       finished.completed ? ItemState::kCompleted : ItemState::kAbandoned;
   item.text = std::move(finished.text);
+  if (finished.text_parts > 0) {
+    item.text = std::move(*text);
+  }
   item.body = std::string();
   item.progress = {};
   found->second.listing.push_back(finished.item);
--- a/Libraries/LibServing/batch_board.h
+++ b/Libraries/LibServing/batch_board.h
@@ -57,6 +57,9 @@
   std::vector<std::string> KeysOf(const std::string& job) const;
 
  private:
+  /// Takes the parts with the keys that `key_of` gives, joined.
+  template <typename KeyOf>
+  Result<std::string> TakeParts(std::size_t count, KeyOf key_of);
   Result<void> AcceptJob(const KeyedRecord& record);
   Result<void> FinishItem(const KeyedRecord& record);
   Result<void> NoteProgress(const KeyedRecord& record);
@@ -64,8 +67,8 @@
   Result<void> EndJob(const KeyedRecord& record);
 
   std::map<std::string, BoardJob> all;
-  /// Bodies whose job record has not come yet, by key.
-  std::map<std::string, std::string> bodies;
+  /// Bodies and texts whose job or result record has not come yet, by key.
+  std::map<std::string, std::string> parts;
   std::map<std::string, std::set<std::string>> keys;
 };
 
@@ -80,6 +83,11 @@
 std::string FinishedKey(const std::string& job,
                         std::size_t item,
                         const std::string& tag);
+/// A part of the text of an item, if one record does not hold it.
+std::string TextKey(const std::string& job,
+                    std::size_t item,
+                    const std::string& tag,
+                    std::size_t part);
 std::string FailedKey(const std::string& job,
                       std::size_t item,
                       const std::string& tag);
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -33,7 +33,6 @@
                             std::vector<platform::SubmittedItem> items,
                             std::function<void(Result<void>)> on_done) {
   job.tag = this->NextTag();
-  const std::uint64_t part_bytes = this->options.record_bytes - kRecordOverhead;
   auto calls = std::make_shared<std::deque<std::vector<KeyedWrite>>>(1);
   std::uint64_t bytes = 0;
   const auto add = [&](KeyedWrite write) {
@@ -49,7 +48,7 @@
     std::string_view body = items[i].body;
     std::uint32_t parts = 0;
     while (!body.empty()) {
-      const std::string_view part = body.substr(0, part_bytes);
+      const std::string_view part = body.substr(0, this->PartBytes());
       add({.key = BodyKey(job.job, job.tag, i, parts++),
            .value = std::string(part)});
       body.remove_prefix(part.size());
@@ -109,25 +108,54 @@
 }
 
 void BatchWriter::AppendFinished(records::BatchItemFinished item) {
-  this->pending.push_back({.key = std::nullopt,
-                           .item = {.job = item.job, .item = item.item},
-                           .value = Encode(item)});
+  this->pending.push_back(
+      {.key = std::nullopt, .value = "", .finished = std::move(item)});
   this->ScheduleFlush(kFlushDelay);
 }
 
+std::uint64_t BatchWriter::PartBytes() const {
+  return this->options.record_bytes - kRecordOverhead;
+}
+
+std::vector<KeyedWrite> BatchWriter::FinishedWrites(
+    records::BatchItemFinished finished) {
+  finished.tag = this->NextTag();
+  std::vector<KeyedWrite> writes;
+  if (finished.text.size() > this->PartBytes()) {
+    std::string_view text = finished.text;
+    while (!text.empty()) {
+      const std::string_view part = text.substr(0, this->PartBytes());
+      writes.push_back({.key = TextKey(finished.job, finished.item,
+                                       finished.tag, finished.text_parts++),
+                        .value = std::string(part)});
+      text.remove_prefix(part.size());
+    }
+    finished.text.clear();
+  }
+  writes.push_back(
+      {.key = FinishedKey(finished.job, finished.item, finished.tag),
+       .value = Encode(finished)});
+  return writes;
+}
+
 std::string BatchWriter::AppendFailed(const ItemReference& item) {
   std::string key = FailedKey(item.job, item.item, this->NextTag());
   const records::BatchItemFailed failed{.job = item.job, .item = item.item};
-  this->pending.push_back({.key = key, .item = item, .value = Encode(failed)});
+  this->pending.push_back(
+      {.key = key, .value = Encode(failed), .finished = {}});
   this->ScheduleFlush(kFlushDelay);
   return key;
 }
 
 void BatchWriter::AppendProgress(const records::BatchItemProgress& progress) {
+  if (progress.text.size() > this->PartBytes()) {
+    // Without the record, another host begins the item anew.
+    return;
+  }
   this->pending.push_back(
       {.key = ProgressKey(progress.job, progress.item, this->options.writer),
-       .item = {.job = progress.job, .item = progress.item},
-       .value = Encode(progress)});
+       .value = Encode(progress),
+       .finished = {}});
   this->ScheduleFlush(kFlushDelay);
 }
 
@@ -151,19 +179,24 @@
   }
   std::vector<KeyedWrite> writes;
   std::uint64_t bytes = 0;
+  std::size_t count = 0;
   for (const auto& record : this->pending) {
-    bytes += record.value.size() + kRecordOverhead;
-    if (!writes.empty() && bytes > this->options.call_bytes) {
+    const auto added = record.key
+                           ? std::vector<KeyedWrite>{{.key = *record.key,
+                                                      .value = record.value}}
+                           : this->FinishedWrites(record.finished);
+    std::uint64_t size = 0;
+    for (const auto& write : added) {
+      size += write.value->size() + kRecordOverhead;
+    }
+    if (!writes.empty() && bytes + size > this->options.call_bytes) {
       break;
     }
-    writes.push_back(
-        {.key = record.key ? *record.key
-                           : FinishedKey(record.item.job, record.item.item,
-                                         this->NextTag()),
-         .value = record.value});
+    bytes += size;
+    ++count;
+    writes.insert(writes.end(), added.begin(), added.end());
   }
   this->is_flushing = true;
-  const std::size_t count = writes.size();
   this->store.Append(this->options.topic, writes, [this, count](auto reply) {
     this->is_flushing = false;
     if (!reply) {
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -65,11 +65,16 @@
     /// A new key for each try, unless it is set. With the same key, a later
     /// copy would take the place of the first and change its offset.
     std::optional<std::string> key;
-    ItemReference item;
     std::string value;
+    /// An item's final state, which is encoded anew for each try.
+    records::BatchItemFinished finished;
   };
 
   std::string NextTag();
+  /// Most bytes of a body or a text in one record.
+  std::uint64_t PartBytes() const;
+  /// The records of an item's final state, the text in parts if need be.
+  std::vector<KeyedWrite> FinishedWrites(records::BatchItemFinished finished);
   void AppendCalls(std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
                    std::function<void(Result<void>)> on_done);
   void Flush();
--- a/Tests/LibServing/batch_board_test.cc
+++ b/Tests/LibServing/batch_board_test.cc
@@ -73,6 +73,26 @@
   STRCMP_EQUAL("first", job->items[1].text.c_str());
 }
 
+// Guards against a text that is longer than a record of the store and is lost,
+// or joined from parts of two tries.
+TEST(BatchBoard_OneJob, LongTextIsJoinedFromItsParts) {
+  const auto finished = [](const std::string& tag) {
+    return KeyedRecord{
+        .key = FinishedKey("j", 0, tag),
+        .value = Encode(records::BatchItemFinished{.job = "j",
+                                                   .item = 0,
+                                                   .completed = true,
+                                                   .tag = tag,
+                                                   .text_parts = 2})};
+  };
+  this->Apply({.key = TextKey("j", 0, "w1", 0), .value = "lost"});
+  this->Apply({.key = TextKey("j", 0, "w2", 0), .value = "first"});
+  this->Apply({.key = TextKey("j", 0, "w2", 1), .value = "second"});
+  CHECK_FALSE(this->board.Apply(finished("w1")).has_value());
+  this->Apply(finished("w2"));
+  STRCMP_EQUAL("firstsecond", this->board.Find("j")->items[0].text.c_str());
+}
+
 // Guards against a job that is accepted twice and runs twice.
 TEST(BatchBoard_OneJob, SecondAcceptanceChangesNothing) {
   this->Apply(Finished("j", 0, "w1", "text"));
