Remove two accessors of connections that nothing calls

Cause: read on the last look at the change; ClientConnection counted its exchanges for is_new(), and ServerSession told its unsent bytes, for no caller. Change: both are gone; no behaviour changes.

--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -66,7 +66,6 @@
                              const ExchangeOptions& options) {
   VERIFY(!this->is_busy);
   this->is_busy = true;
-  ++this->exchanges;
   this->request_text = std::move(request_text);
   this->events = std::make_shared<const ExchangeEvents>(std::move(events));
   this->is_head_request = options.is_head_request;
--- a/Libraries/LibAsyncHttp/client_connection.h
+++ b/Libraries/LibAsyncHttp/client_connection.h
@@ -40,8 +40,6 @@
 
   bool is_open() const { return this->socket.is_open(); }
   bool is_idle() const { return this->is_connected && !this->is_busy; }
-  /// True if the running exchange is the first of this connection.
-  bool is_new() const { return this->exchanges <= 1; }
   /// Until when the server keeps the idle connection.
   TimePoint usable_until() const { return this->idle_deadline; }
   const boost::asio::ip::tcp::endpoint& server() const { return this->address; }
@@ -67,7 +65,6 @@
   boost::beast::flat_buffer input;
   std::unique_ptr<ResponseParser> parser;
   std::string request_text;
-  std::size_t exchanges = 0;
   bool is_connected = false;
   bool is_busy = false;
   bool is_reading = false;
--- a/Libraries/LibAsyncHttp/server_session.h
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -78,8 +78,6 @@
 
   bool is_handling() const { return this->state == State::kHandling; }
   bool is_open() const { return this->socket.is_open(); }
-  /// Bytes that wait for a slow caller.
-  std::size_t unsent_bytes() const { return this->unsent.size(); }
   /// When the first byte of the running request was read.
   TimePoint request_started() const { return this->started; }
 
