Give each slot of a replica a thread for cancels

Four threads sent the cancels of a replica, each waiting for its answer, while an online burst needs the slots of all eight batch streams at once. The last four cancels waited for the answers to the first four.

Change: as many threads as slots.

--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -14,11 +14,6 @@
 
 namespace {
 
-/// Threads of each replica that send cancel requests. An online burst suspends
-/// a batch stream for each of its requests, and the last cancel must leave
-/// within 5 ms; a replica that does not answer must not delay the others.
-constexpr std::size_t kCancelThreads = 4;
-
 /// A cancel that reached the engine before its stream did is sent again.
 constexpr std::chrono::milliseconds kFirstCancelRetry{5};
 constexpr std::chrono::milliseconds kLongestCancelRetry{1000};
@@ -74,7 +69,10 @@
              }) {
   for (const auto& url : this->settings.endpoint.replicas) {
     this->clients.try_emplace(url, url);
-    this->cancellers.try_emplace(url, kCancelThreads);
+    // An online burst can suspend the batch streams of all slots at once. With
+    // fewer threads than slots the last cancels would wait for the answers to
+    // the first ones, and leave later than 5 ms on a busy host.
+    this->cancellers.try_emplace(url, this->settings.endpoint.slots);
   }
 }
 
--- a/Services/Standin/engine_service.cc
+++ b/Services/Standin/engine_service.cc
@@ -140,7 +140,12 @@
   if (!json) {
     return JsonResponse(400, {{"error", "the body is not a JSON object"}});
   }
-  const std::string id = json->value("request_id", "");
+  const bool found = this->CancelStream(json->value("request_id", ""));
+  std::this_thread::sleep_for(this->options.cancel_time);
+  return JsonResponse(200, {{"cancelled", found}});
+}
+
+bool EngineService::CancelStream(const std::string& id) {
   std::lock_guard lock(this->mutex);
   bool found = false;
   if (const auto entry = this->running.find(id); entry != this->running.end()) {
@@ -162,7 +167,7 @@
             std::chrono::steady_clock::now().time_since_epoch())
             .count());
   }
-  return JsonResponse(200, {{"cancelled", found}});
+  return found;
 }
 
 HttpResponse EngineService::Load() {
--- a/Services/Standin/engine_service.h
+++ b/Services/Standin/engine_service.h
@@ -26,6 +26,8 @@
   std::uint32_t cached_prefixes = 64;
   /// Delay of the load report.
   std::chrono::milliseconds report_lag{1500};
+  /// From a cancel's effect to its answer.
+  std::chrono::milliseconds cancel_time{0};
   bool checks_fencing = true;
 };
 
@@ -57,6 +59,8 @@
 
   HttpResponse Complete(const HttpRequest& request);
   HttpResponse Cancel(const HttpRequest& request);
+  /// Whether the stream was there.
+  bool CancelStream(const std::string& id);
   HttpResponse Load();
   HttpResponse Order(const HttpRequest& request);
   HttpResponse SetFaults(const HttpRequest& request);
--- a/Services/Standin/main.cc
+++ b/Services/Standin/main.cc
@@ -44,6 +44,8 @@
       cxxopts::value<double>()->default_value("0.03"))(
       "report-lag-ms", "engine: delay of load reports",
       cxxopts::value<std::int64_t>()->default_value("1500"))(
+      "cancel-ms", "engine: time until a cancel is answered",
+      cxxopts::value<std::int64_t>()->default_value("0"))(
       "ignores-fencing", "engine: accept orders with an old fencing number")(
       "call-ms", "service: time of a call",
       cxxopts::value<std::int64_t>()->default_value("20"))(
@@ -73,6 +75,7 @@
            std::chrono::microseconds(arguments["token-us"].as<std::int64_t>()),
        .occupancy_cost = arguments["occupancy-cost"].as<double>(),
        .report_lag = duration("report-lag-ms"),
+       .cancel_time = duration("cancel-ms"),
        .checks_fencing = arguments.count("ignores-fencing") == 0});
   PlainService service(duration("call-ms"));
   HostListService hosts(duration("lag-ms"));
--- a/Tests/Processes/daemon_test.cc
+++ b/Tests/Processes/daemon_test.cc
@@ -352,6 +352,35 @@
   STRCMP_EQUAL(expected.c_str(), result.results[0].text.c_str());
 }
 
+// Guards against cancels that wait for the answers to others: a burst needs the
+// slots of all batch streams at once.
+TEST(Daemon_OneEngine, CancelsOfABurstDoNotWaitForEachOther) {
+  constexpr int kSlots = 8;
+  constexpr std::int64_t kAnswerUs = 200'000;
+  this->Start({"--token-us", "5000", "--cancel-ms", "200"}, "");
+  for (int i = 0; i < kSlots; ++i) {
+    this->client->Send(
+        MakeExecute("b" + std::to_string(i), WorkKind::kBatch, 400));
+  }
+  CHECK(WaitUntil([this] {
+    return CallJson("GET", this->engine_url + "/admin/state")["running"] ==
+           kSlots;
+  }));
+  for (int i = 0; i < kSlots; ++i) {
+    this->client->Send(
+        MakeExecute("o" + std::to_string(i), WorkKind::kOnline, 2));
+  }
+  for (int i = 0; i < kSlots; ++i) {
+    CHECK(this->IsDone("o" + std::to_string(i)));
+  }
+  std::vector<std::int64_t> times;
+  CHECK(WaitUntil([this, &times] {
+    times = Numbers(this->fleet.LogOf("daemon"), "sent_us=");
+    return times.size() > kSlots / 2;
+  }));
+  CHECK(*std::max_element(times.begin(), times.end()) < kAnswerUs);
+}
+
 // Guards against a stale order of a paused entry that a restarted daemon takes
 // for an engine that ignores fencing numbers.
 TEST(Daemon_OneEngine, StaleOrderIsRefusedAfterARestart) {
