--- a/Services/Gateway/keyed_follower.cc
+++ b/Services/Gateway/keyed_follower.cc
@@ -11,16 +11,25 @@
 
 /// Pause after a call that failed.
 constexpr Duration kRetryPause = std::chrono::milliseconds(200);
+/// First limit for a page of a snapshot. A lost answer is noticed after it.
+constexpr Duration kShortestPageTime = std::chrono::milliseconds(1500);
+/// All hosts read their snapshots at once after a loss of all of them, and
+/// share the store's outgoing bandwidth: 300 hosts with 3,000 replicas need
+/// about 5 s.
+constexpr Duration kLongestPageTime = std::chrono::milliseconds(6000);
 
 }  // namespace
 
 KeyedFollower::KeyedFollower(boost::asio::io_context& loop,
                              platform::StoreClient& store,
                              KeyedFollowerOptions options)
-    : store(store), options(std::move(options)), timer(loop) {}
+    : store(store),
+      options(std::move(options)),
+      timer(loop),
+      page_time(kShortestPageTime) {}
 
 void KeyedFollower::Start() {
-  this->ReadSnapshot("");
+  this->ReadSnapshot();
 }
 
 void KeyedFollower::Stop() {
@@ -40,27 +49,37 @@
     if (this->next_offset) {
       this->ReadOn();
     } else {
-      this->ReadSnapshot("");
+      this->ReadSnapshot();
     }
   });
 }
 
-void KeyedFollower::ReadSnapshot(const std::string& after_key) {
-  if (after_key.empty()) {
-    this->snapshot.clear();
-    this->snapshot_end.reset();
-  }
-  this->store.ReadNewest(this->options.topic, after_key, [this](auto page) {
-    if (this->is_stopped) {
-      return;
-    }
-    if (!page) {
-      this->OnError(page.error());
-      return;
-    }
-    this->OnAnswer();
-    this->OnSnapshotPage(*page);
-  });
+void KeyedFollower::ReadSnapshot() {
+  this->store.ReadNewest(this->options.topic, this->snapshot_key,
+                         this->page_time, [this](auto page) {
+                           if (this->is_stopped) {
+                             return;
+                           }
+                           if (!page) {
+                             if (page.error().code == ErrorCode::kTimeout) {
+                               this->page_time = std::min(2 * this->page_time,
+                                                          kLongestPageTime);
+                             }
+                             this->OnError(page.error());
+                             return;
+                           }
+                           this->OnAnswer();
+                           this->OnSnapshotPage(*page);
+                         });
+}
+
+void KeyedFollower::RestartSnapshot() {
+  this->next_offset.reset();
+  this->snapshot.clear();
+  this->snapshot_key.clear();
+  this->snapshot_end.reset();
+  this->page_time = kShortestPageTime;
+  this->ReadSnapshot();
 }
 
 void KeyedFollower::OnSnapshotPage(const NewestPage& page) {
@@ -70,7 +89,8 @@
   this->snapshot.insert(this->snapshot.end(), page.records.begin(),
                         page.records.end());
   if (page.has_more && !page.records.empty()) {
-    this->ReadSnapshot(page.records.back().key);
+    this->snapshot_key = page.records.back().key;
+    this->ReadSnapshot();
     return;
   }
   this->FinishSnapshot();
@@ -149,8 +169,7 @@
 void KeyedFollower::OnError(const Error& error) {
   if (error.code == ErrorCode::kNotFound && this->next_offset) {
     // The records were deleted before they were read.
-    this->next_offset.reset();
-    this->ReadSnapshot("");
+    this->RestartSnapshot();
     return;
   }
   if (!this->lost_since) {
--- a/Services/Gateway/keyed_follower.h
+++ b/Services/Gateway/keyed_follower.h
@@ -51,7 +51,9 @@
   TimePoint current_as_of() const { return this->current; }
 
  private:
-  void ReadSnapshot(const std::string& after_key);
+  /// Reads the next page, after `snapshot_key`.
+  void ReadSnapshot();
+  void RestartSnapshot();
   void OnSnapshotPage(const NewestPage& page);
   void FinishSnapshot();
   void ReadOn();
@@ -65,8 +67,12 @@
   boost::asio::steady_timer timer;
   /// Set once the snapshot is read.
   std::optional<std::uint64_t> next_offset;
+  /// Pages of the snapshot that were read so far, and the last key of them.
   std::vector<KeyedRecord> snapshot;
+  std::string snapshot_key;
   std::optional<std::uint64_t> snapshot_end;
+  /// How long a page may take; longer after each one that took too long.
+  Duration page_time;
   std::optional<TimePoint> lost_since;
   TimePoint current{};
   TimePoint last_read{};
--- /dev/null
+++ b/Tests/Gateway/snapshot_test.cc
@@ -0,0 +1,61 @@
+#include <CppUTest/TestHarness.h>
+
+#include "PlatformStandin/gateway_fleet.h"
+
+namespace crocus {
+
+namespace {
+
+/// Three pages of the stand-in's snapshot.
+constexpr std::uint32_t kReplicas = 1200;
+/// Those of the replicas, one of the configuration, one of the batch jobs.
+constexpr std::uint64_t kPages = 5;
+
+}  // namespace
+
+TEST_GROUP(Gateway_ManyReplicas) {
+  GatewayFleet fleet;
+
+  void setup() override {
+    for (std::uint32_t i = 0; i < kReplicas; ++i) {
+      // Nothing listens there; the replicas are only registered.
+      this->fleet.RegisterReplica("i-" + std::to_string(i), "model", 1,
+                                  "ready");
+    }
+  }
+
+  void Start() {
+    this->fleet.StartGateway("gateway", this->fleet.store.port());
+  }
+
+  bool BecomesReady() {
+    return this->fleet.RunUntil(
+        [this] { return this->fleet.IsReady("gateway"); },
+        std::chrono::seconds(20));
+  }
+};
+
+// Guards against hosts that never become ready because each page of the
+// snapshot takes longer than the first limit: all hosts read at once after a
+// loss of all of them.
+TEST(Gateway_ManyReplicas, SlowPagesAreWaitedFor) {
+  this->fleet.store.set_faults({.delay = std::chrono::milliseconds(1700)});
+  this->Start();
+  CHECK(this->BecomesReady());
+}
+
+// Guards against reading a long snapshot from its start again after each
+// failed page, which keeps an overloaded store overloaded.
+TEST(Gateway_ManyReplicas, SnapshotGoesOnAfterAFailedPage) {
+  this->fleet.store.set_faults({.delay = std::chrono::milliseconds(200)});
+  this->Start();
+  CHECK(this->fleet.RunUntil(
+      [this] { return this->fleet.store.pages() >= kPages - 1; }));
+  this->fleet.store.set_faults({.refusal = 503});
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  this->fleet.store.set_faults({});
+  CHECK(this->BecomesReady());
+  CHECK_EQUAL(kPages, this->fleet.store.pages());
+}
+
+}  // namespace crocus
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -269,6 +269,7 @@
   const Topic& topic =
       this->topics[std::string(request.head.QueryValue("topic"))];
   const std::string after = PercentDecoded(request.head.QueryValue("after"));
+  ++this->page_count;
   json items = json::array();
   bool has_more = false;
   for (const auto& [key, record] : topic.newest) {
--- a/Tests/PlatformStandin/store_standin.h
+++ b/Tests/PlatformStandin/store_standin.h
@@ -51,6 +51,8 @@
 
   void set_faults(const StoreFaults& faults) { this->faults = faults; }
   std::uint64_t appends() const { return this->append_count; }
+  /// Pages of snapshots that were served.
+  std::uint64_t pages() const { return this->page_count; }
   /// The newest records of a topic, in the order of their offsets.
   std::vector<KeyedRecord> Newest(const std::string& topic) const;
 
@@ -100,6 +102,7 @@
   std::uint64_t generation = 1;
   std::list<WaitingRead> waiting;
   std::uint64_t append_count = 0;
+  std::uint64_t page_count = 0;
 };
 
 }  // namespace crocus
