End as many batch runs as online requests need, over all hosts together

When a replica has more requests than slots, each host ended its part of the batch runs rounded up, so five hosts with a run each ended five for one online request.

Change: hosts take the runs to end in an order that all of them compute from the same reports, different for each replica. A test adds up the parts of six hosts; with the former rounding they end five runs for an excess of one.

Ruled out: the reserve for online requests (with one slot instead of two: no gain), the store (fewer than 25 results unwritten at any time), and the order by urgency (no host waited for a slot in those seconds).

--- a/Libraries/LibServing/replica_loads.cc
+++ b/Libraries/LibServing/replica_loads.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "LibCore/assertions.h"
+#include "LibCore/hashing.h"
 
 namespace crocus {
 
@@ -73,6 +74,27 @@
   return total;
 }
 
+std::uint32_t ReplicaLoads::OwnPartOf(std::uint32_t excess,
+                                      const std::string& replica,
+                                      TimePoint now) const {
+  // The order differs between replicas, so that no host always ends its runs.
+  const auto rank = [&replica](const std::string& host) {
+    return std::pair(HashBytes(replica + host), host);
+  };
+  const auto own_rank = rank(this->own_name);
+  std::uint32_t earlier = 0;
+  for (const auto& [peer, report] : this->peers) {
+    const auto found = report.loads.find(replica);
+    if (found != report.loads.end() &&
+        now - report.received <= this->options.peer_report_life &&
+        rank(peer) < own_rank) {
+      earlier += found->second.batch;
+    }
+  }
+  return std::min(this->Own(replica).batch,
+                  excess > earlier ? excess - earlier : 0);
+}
+
 std::map<std::string, Outstanding> ReplicaLoads::OwnLoads() const {
   std::map<std::string, Outstanding> loads;
   for (const auto& [replica, outstanding] : this->own) {
--- a/Libraries/LibServing/replica_loads.h
+++ b/Libraries/LibServing/replica_loads.h
@@ -48,6 +48,9 @@
   void OnFailure(const std::string& replica, TimePoint now);
   void OnSuccess(const std::string& replica);
 
+  /// The name under which peers know this host's reports.
+  void set_own_name(const std::string& name) { this->own_name = name; }
+
   /// Replaces what the peer said before.
   void OnPeerReport(const std::string& peer,
                     std::map<std::string, Outstanding> loads,
@@ -56,6 +59,12 @@
   /// Of this host and of its peers together.
   Outstanding Total(const std::string& replica, TimePoint now) const;
   Outstanding Own(const std::string& replica) const;
+  /// This host's part of `excess` batch runs that have to end at the replica.
+  /// The hosts take them in an order that all of them compute, so that together
+  /// they end that many and not each of them one.
+  std::uint32_t OwnPartOf(std::uint32_t excess,
+                          const std::string& replica,
+                          TimePoint now) const;
   /// Own figures that are not zero.
   std::map<std::string, Outstanding> OwnLoads() const;
 
@@ -81,6 +90,7 @@
   std::map<std::string, Outstanding> own;
   std::map<std::string, Health> health;
   std::map<std::string, PeerReport> peers;
+  std::string own_name;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -122,10 +122,8 @@
     }
     const Outstanding total = this->context.loads.Total(replica, now);
     if (total.total() > record->slots && total.batch > 0) {
-      // Each host ends its part of the batch runs, rounded up.
-      const std::uint32_t over =
-          std::min(total.total() - record->slots, total.batch);
-      excess[replica] = (over * own.batch + total.batch - 1) / total.batch;
+      excess[replica] = this->context.loads.OwnPartOf(
+          total.total() - record->slots, replica, now);
     }
   }
   const auto current = this->config();
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -140,6 +140,7 @@
   }
   TRY(this->peers.Open(this->settings.host.address,
                        this->settings.host.peer_port));
+  this->loads.set_own_name(this->peers.own_address());
   this->config_follower = std::make_unique<KeyedFollower>(
       this->loop, this->store,
       KeyedFollowerOptions{.topic = std::string(platform::topic::kOperator),
--- /dev/null
+++ b/Tests/LibServing/replica_loads_test.cc
@@ -0,0 +1,41 @@
+#include "LibServing/replica_loads.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+
+namespace crocus {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+}  // namespace
+
+TEST_GROUP(ReplicaLoads_SeveralHosts){};
+
+// Guards against hosts that all end a batch run when one slot is needed.
+TEST(ReplicaLoads_SeveralHosts, PartsOfTheExcessAddUpToIt) {
+  const std::vector<std::uint32_t> runs = {1, 0, 1, 3, 1, 2};
+  constexpr std::uint32_t kTotal = 8;
+  for (std::uint32_t excess = 0; excess <= kTotal + 2; ++excess) {
+    std::uint32_t ended = 0;
+    for (std::size_t host = 0; host < runs.size(); ++host) {
+      ReplicaLoads loads;
+      loads.set_own_name("host" + std::to_string(host));
+      for (std::size_t peer = 0; peer < runs.size(); ++peer) {
+        if (peer != host) {
+          loads.OnPeerReport("host" + std::to_string(peer),
+                             {{"i-1", {.batch = runs[peer]}}}, kStart);
+        }
+      }
+      for (std::uint32_t run = 0; run < runs[host]; ++run) {
+        loads.OnSent("i-1", WorkClass::kBatch);
+      }
+      ended += loads.OwnPartOf(excess, "i-1", kStart);
+    }
+    CHECK_EQUAL(std::min(excess, kTotal), ended);
+  }
+}
+
+}  // namespace crocus
