--- a/Tests/Soak/main.cc
+++ b/Tests/Soak/main.cc
@@ -21,6 +21,8 @@
                         cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "time with faults",
       cxxopts::value<std::uint32_t>()->default_value("20"))(
+      "minutes", "time with faults, instead of --seconds",
+      cxxopts::value<std::uint32_t>())(
       "processes", "number of gateways",
       cxxopts::value<std::uint32_t>()->default_value("3"))(
       "replicas", "number of replicas",
@@ -37,9 +39,12 @@
       return 0;
     }
     const auto seed = parsed["seed"].as<std::uint64_t>();
+    const std::chrono::seconds duration =
+        parsed.count("minutes") > 0
+            ? std::chrono::minutes(parsed["minutes"].as<std::uint32_t>())
+            : std::chrono::seconds(parsed["seconds"].as<std::uint32_t>());
     crocus::Soak soak({.seed = seed,
-                       .duration = std::chrono::seconds(
-                           parsed["seconds"].as<std::uint32_t>()),
+                       .duration = duration,
                        .gateways = parsed["processes"].as<std::uint32_t>(),
                        .replicas = parsed["replicas"].as<std::uint32_t>(),
                        .callers = parsed["callers"].as<std::uint32_t>(),
