--- /dev/null
+++ b/Tests/LibServing/load_spread_test.cc
@@ -0,0 +1,71 @@
+#include "LibServing/load_spread.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <numeric>
+
+namespace crocus {
+
+namespace {
+
+/// Half a second of service over five slots.
+constexpr double kWait = 0.1;
+constexpr double kOtherZone = 0.004;
+constexpr double kOtherRegion = 0.04;
+
+}  // namespace
+
+TEST_GROUP(LoadSpread_ThreeZones){
+    static std::vector<double> Spread(std::int64_t own_zone,
+                                      std::int64_t other_zone,
+                                      std::int64_t other_region,
+                                      double requests){return SpreadRequests(
+        {{.spare_slots = own_zone, .wait_per_request = kWait},
+         {.distance = kOtherZone,
+          .spare_slots = other_zone,
+          .wait_per_request = kWait},
+         {.distance = kOtherRegion,
+          .spare_slots = other_region,
+          .wait_per_request = kWait}},
+        requests);
+}  // namespace crocus
+}
+;
+
+// Guards against requests that leave the zone although it has room for all.
+TEST(LoadSpread_ThreeZones, FreeSlotsOfTheOwnZoneAreTakenFirst) {
+  const auto shares = Spread(5, 5, 5, 4);
+  DOUBLES_EQUAL(4, shares[0], 0.01);
+  DOUBLES_EQUAL(0, shares[1], 0.01);
+  DOUBLES_EQUAL(0, shares[2], 0.01);
+}
+
+// Guards against one replica that gets all requests for its last free slot.
+TEST(LoadSpread_ThreeZones, MoreRequestsThanFreeSlotsReachTheNextZones) {
+  const auto shares = Spread(1, 2, 5, 4);
+  DOUBLES_EQUAL(1, shares[0], 0.01);
+  DOUBLES_EQUAL(2, shares[1], 0.01);
+  DOUBLES_EQUAL(1, shares[2], 0.01);
+}
+
+// Guards against a queue in one zone that is longer than in the others by more
+// than the way there.
+TEST(LoadSpread_ThreeZones, QueuesGrowEvenlyWhenNoSlotIsFree) {
+  const auto shares = Spread(0, -2, 0, 4);
+  DOUBLES_EQUAL(2, shares[0], 0.01);
+  DOUBLES_EQUAL(0, shares[1], 0.01);
+  DOUBLES_EQUAL(2, shares[2], 0.01);
+}
+
+// Guards against shares that lose or add requests.
+TEST(LoadSpread_ThreeZones, SharesAddUpToTheRequests) {
+  for (const std::int64_t spare : {-9, -1, 0, 1, 7}) {
+    for (const double requests : {1.0, 2.5, 40.0}) {
+      const auto shares = Spread(spare, 0, 3 - spare, requests);
+      DOUBLES_EQUAL(requests,
+                    std::accumulate(shares.begin(), shares.end(), 0.0), 0.01);
+    }
+  }
+}
+
+}  // namespace crocus
