Start batch items only by a board that is current

Change: items are started only if the last read that reached the end of the log is less than 2 s old. With the store away nobody can end a job, so a host that was current goes on, as before.

Ruled out: the end itself (acknowledged, in the log), and the store (stable in that time).

--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -37,12 +37,14 @@
                          const BatchBoard& board,
                          const PeerItems& peer_items,
                          BatchWriter& writer,
-                         ConfigSource config)
+                         ConfigSource config,
+                         std::function<bool()> may_start)
     : context(context),
       board(board),
       peer_items(peer_items),
       writer(writer),
       config(std::move(config)),
+      may_start(std::move(may_start)),
       timer(context.loop) {}
 
 void BatchRunner::Start() {
@@ -156,7 +158,7 @@
 void BatchRunner::StartItems() {
   const auto current = this->config();
   this->waiting_due_ms = 0;
-  if (!current || this->is_stopping) {
+  if (!current || this->is_stopping || !this->may_start()) {
     return;
   }
   const TimePoint now = BootTimeNow();
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -29,7 +29,8 @@
               const BatchBoard& board,
               const PeerItems& peer_items,
               BatchWriter& writer,
-              ConfigSource config);
+              ConfigSource config,
+              std::function<bool()> may_start);
 
   void Start();
   /// Starts no further items.
@@ -94,6 +95,8 @@
   const PeerItems& peer_items;
   BatchWriter& writer;
   const ConfigSource config;
+  /// Whether the board is current enough to start items by it.
+  const std::function<bool()> may_start;
   BatchQueue queue;
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -29,6 +29,10 @@
 
 /// Waiting reads are looked at this often for those whose wait is over.
 constexpr Duration kWaitTick = std::chrono::milliseconds(50);
+/// Age of the board up to which items are started by it. A read of the log
+/// waits up to 1 s for records; an ended job's items must not reach a replica
+/// 3 s after the end (`cancel_ms`).
+constexpr Duration kBoardAge = std::chrono::milliseconds(2000);
 /// When a caller should send a submission again that was refused.
 constexpr Duration kSubmitRetryAfter = std::chrono::milliseconds(700);
 /// Lasting records outlive the readable time by this much, since clocks of
@@ -51,7 +55,12 @@
               .record_bytes = this->options.record_bytes,
               .call_bytes = this->options.call_bytes,
               .writer = MakeIdentifier("w").substr(0, 14)}),
-      batch_runner(context, this->board, peer_items, this->writer, config),
+      batch_runner(context,
+                   this->board,
+                   peer_items,
+                   this->writer,
+                   config,
+                   [this] { return this->may_start_items(); }),
       follower(
           context.loop,
           store,
@@ -129,6 +138,12 @@
       });
 }
 
+bool BatchService::may_start_items() const {
+  const TimePoint as_of = this->follower.current_as_of();
+  return as_of != TimePoint{} &&
+         (this->follower.is_lost() || BootTimeNow() - as_of < kBoardAge);
+}
+
 bool BatchService::is_current() const {
   return this->follower.has_snapshot() &&
          BootTimeNow() - this->follower.current_as_of() <
--- a/Services/Gateway/batch_service.h
+++ b/Services/Gateway/batch_service.h
@@ -95,6 +95,10 @@
   void AnswerDueWaiters();
   void ScheduleDueWaiters();
   bool is_current() const;
+  /// False while the store answers and this host is still behind, as after its
+  /// start: jobs may have been ended meanwhile. With the store away, no caller
+  /// can end a job, and the host goes on with what it knows.
+  bool may_start_items() const;
   void JoinGroup();
   void ScheduleJoin();
   void DropExpiredJobs();
--- a/Services/Gateway/keyed_follower.cc
+++ b/Services/Gateway/keyed_follower.cc
@@ -75,6 +75,7 @@
 
 void KeyedFollower::RestartSnapshot() {
   this->next_offset.reset();
+  this->current = {};
   this->snapshot.clear();
   this->snapshot_key.clear();
   this->snapshot_end.reset();
--- a/Services/Gateway/keyed_follower.h
+++ b/Services/Gateway/keyed_follower.h
@@ -47,8 +47,11 @@
   void CatchUp(std::function<void(bool)> on_done);
 
   bool has_snapshot() const { return this->next_offset.has_value(); }
-  /// When the last read that reached the end of the topic was sent.
+  /// When the last read that reached the end of the topic was sent; the epoch
+  /// of the clock before the first one after a snapshot.
   TimePoint current_as_of() const { return this->current; }
+  /// True while the store does not answer.
+  bool is_lost() const { return this->lost_since.has_value(); }
 
  private:
   /// Reads the next page, after `snapshot_key`.
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -68,6 +68,28 @@
   CHECK_TRUE(page == this->fleet.ReadResults("a", "job1"));
 }
 
+// Guards against running items of a job that was ended while a host read a long
+// snapshot: it has to read the log to its end before it starts any.
+TEST(GatewayBatch_TwoGateways, HostThatIsBehindStartsNoItems) {
+  this->fleet.UnregisterReplica("i-1");
+  this->fleet.UnregisterReplica("i-2");
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "behind", {"behind-item"})));
+  this->fleet.processes.Signal("a", SIGKILL);
+  this->fleet.processes.Signal("b", SIGKILL);
+  this->fleet.RegisterReplica("i-1", "model", this->fleet.replicas[0]->port(),
+                              "ready");
+  this->fleet.store.set_faults({.held_topic = "keyed.crocus"});
+  this->fleet.StartGateway("c", this->fleet.store.port());
+  // The dead hosts keep their partitions for 3 s.
+  this->fleet.RunFor(std::chrono::seconds(5));
+  CHECK_EQUAL(0U, this->fleet.RunsOf("behind-item"));
+  this->fleet.store.set_faults({});
+  CHECK_TRUE(this->fleet.RunUntil(
+      [this] { return this->fleet.RunsOf("behind-item") > 0; }));
+}
+
 // Guards against accepting a job a second time when its caller sends it again.
 TEST(GatewayBatch_TwoGateways, RepeatedSubmissionIsAcceptedOnce) {
   const auto items = Items("y", 3);
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -222,6 +222,9 @@
       .offset = NumberOf(request.head.QueryValue("start_rev")),
       .deadline = BootTimeNow() + std::chrono::milliseconds(NumberOf(
                                       request.head.QueryValue("wait_ms")))};
+  if (read.topic == this->faults.held_topic) {
+    return;
+  }
   const Topic& topic = this->topics[read.topic];
   if (read.offset < topic.first_offset) {
     session->Respond(410, {},
--- a/Tests/PlatformStandin/store_standin.h
+++ b/Tests/PlatformStandin/store_standin.h
@@ -27,6 +27,9 @@
   /// No call is answered.
   bool is_silent = false;
   Duration delay{};
+  /// Reads of this topic's log are not answered; those of its newest records
+  /// are.
+  std::string held_topic;
   /// Share of the appends that are done and whose answer is lost.
   double lost_answers = 0;
 };
