Keep one copy of the HTTP status names and of the hash point

Cause: reading the whole change again.

Change: LibAsyncHttp/http_status.h and LibServing/hash_point.h serve all of them, and the option is removed. Behaviour is the same.

Ruled out: one base class for the request and the response parser, whose declarations match because Boost.Beast prescribes them; what they do differs. The programs of the first interface keep their own status names, which are of another type (int) and belong to LibHttp.

--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "LibAsyncHttp/http_status.h"
 #include "LibAsyncHttp/http_text.h"
 
 namespace crocus {
@@ -16,9 +17,6 @@
 /// Bytes of later requests that are read while one is handled.
 constexpr std::size_t kReadAheadBytes = 64 << 10;
 constexpr std::uint32_t kContinue = 100;
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kPayloadTooLarge = 413;
-constexpr std::uint32_t kHeaderTooLarge = 431;
 
 bool StatusHasBody(std::uint32_t status) {
   return status >= 200 && status != 204 && status != 304;
@@ -80,10 +78,10 @@
     namespace http = boost::beast::http;
     if (error && error != http::error::need_more) {
       this->is_parsing = false;
-      this->RejectMalformed(error == http::error::body_limit ? kPayloadTooLarge
-                            : error == http::error::header_limit
-                                ? kHeaderTooLarge
-                                : kBadRequest);
+      this->RejectMalformed(
+          error == http::error::body_limit     ? http_status::kPayloadTooLarge
+          : error == http::error::header_limit ? http_status::kHeaderTooLarge
+                                               : http_status::kBadRequest);
       return;
     }
     if (this->parser->is_done()) {
--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "LibCore/hashing.h"
+#include "LibServing/hash_point.h"
 
 namespace crocus {
 
@@ -27,8 +28,7 @@
 }
 
 std::string EndpointOfJob(const Route& route, const std::string& job) {
-  const double point = static_cast<double>(HashBytes(job) >> 11) * 0x1.0p-53;
-  return PickEndpoint(route, point);
+  return PickEndpoint(route, HashPoint(job));
 }
 
 void BatchQueue::SetPartitions(std::set<std::uint32_t> partitions,
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
-#include "LibCore/hashing.h"
+#include "LibServing/hash_point.h"
 #include "LibServing/load_spread.h"
 
 namespace crocus {
@@ -115,9 +115,7 @@
         this->loads.IsPaused(replica->id, now)) {
       continue;
     }
-    const double preference =
-        static_cast<double>(HashBytes(this->options.host + replica->id) >> 11) *
-        0x1.0p-53;
+    const double preference = HashPoint(this->options.host + replica->id);
     const double cost =
         static_cast<double>(load.total()) / replica->slots +
         kPreferenceWeight * preference +
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -27,9 +27,6 @@
   Duration other_region_cost = std::chrono::milliseconds(40);
   /// Slots of a replica that batch work leaves free for online arrivals.
   std::uint32_t batch_reserve = 1;
-  /// Requests that may wait at a replica when all its slots are taken, for
-  /// each slot.
-  double queue_share = 0.5;
 };
 
 struct PlacementChoice {
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibAsyncHttp/http_status.h"
 #include "LibEvents/event_log.h"
 #include "platform/request_headers.h"
 
@@ -27,10 +28,6 @@
 constexpr Duration kStoppedPause = std::chrono::milliseconds(300);
 constexpr Duration kFailedPause = std::chrono::milliseconds(300);
 
-constexpr std::uint32_t kOk = 200;
-constexpr std::uint32_t kUnprocessable = 422;
-constexpr std::uint32_t kServerError = 500;
-
 }  // namespace
 
 BatchRunner::BatchRunner(ForwardingContext& context,
@@ -242,7 +239,8 @@
               [this, item](const auto& response, const auto& answer) {
                 auto& run = this->runs.at(item);
                 run.status = response.status;
-                run.is_usable = response.status == kOk && answer.is_sealed;
+                run.is_usable =
+                    response.status == http_status::kOk && answer.is_sealed;
                 run.last_bytes = BootTimeNow();
               },
           .on_body = [this, item](auto bytes) { this->OnBody(item, bytes); },
@@ -339,9 +337,9 @@
   progress.not_before =
       now + (end.verdict == Verdict::kNotRun ? kRefusedPause : kFailedPause);
   progress.avoided.insert(run.attempt->replica());
-  if (is_whole && run.status == kUnprocessable) {
+  if (is_whole && run.status == http_status::kUnprocessable) {
     this->FinishItem(item, false);
-  } else if (is_whole && run.status == kServerError) {
+  } else if (is_whole && run.status == http_status::kServerError) {
     progress.failures.insert(this->writer.AppendFailed(item));
     const auto current = this->config();
     const Route* route =
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "LibAsyncHttp/http_status.h"
 #include "LibCore/random.h"
 #include "LibEvents/event_log.h"
 #include "platform/request_headers.h"
@@ -19,14 +20,6 @@
 const std::string kGroup = "crocus.batch";
 constexpr std::string_view kPeerPrefix = "peer/";
 
-constexpr std::uint32_t kOk = 200;
-constexpr std::uint32_t kAccepted = 202;
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kNotFound = 404;
-constexpr std::uint32_t kTooManyRequests = 429;
-constexpr std::uint32_t kUnavailable = 503;
-constexpr std::uint32_t kGatewayTimeout = 504;
-
 /// Waiting reads are looked at this often for those whose wait is over.
 constexpr Duration kWaitTick = std::chrono::milliseconds(50);
 /// Age of the board up to which items are started by it. A read of the log
@@ -162,7 +155,7 @@
                                 .submitted_ms = UnixMilliseconds()};
   auto items = platform::DecodeSubmission(request.body);
   if (!items || job.job.empty() || job.job.find('/') != std::string::npos) {
-    this->FinishSubmission(session, job, 0, kBadRequest,
+    this->FinishSubmission(session, job, 0, http_status::kBadRequest,
                            items ? "no id" : items.error().message, 0);
     return;
   }
@@ -177,8 +170,8 @@
                           items = std::move(*items),
                           limit = route.waiting_token_limit](bool is_current) {
     if (!is_current) {
-      this->FinishSubmission(session, job, items.size(), kUnavailable,
-                             "store away", 0);
+      this->FinishSubmission(session, job, items.size(),
+                             http_status::kUnavailable, "store away", 0);
       return;
     }
     this->Submit(session, job, items, limit);
@@ -195,20 +188,21 @@
   }
   const std::size_t count = items.size();
   if (this->board.Find(job.job) != nullptr) {
-    this->FinishSubmission(session, job, count, kAccepted, "known", tokens);
+    this->FinishSubmission(session, job, count, http_status::kAccepted, "known",
+                           tokens);
     return;
   }
   if (this->submitting.contains(job.job)) {
     // The other copy may be accepted, so neither refusal nor consent is true.
-    this->FinishSubmission(session, job, count, kGatewayTimeout, "in progress",
-                           tokens);
+    this->FinishSubmission(session, job, count, http_status::kGatewayTimeout,
+                           "in progress", tokens);
     return;
   }
   auto& reserved = this->reserved_tokens[job.route];
   const std::uint64_t waiting = this->board.OpenTokens(job.route) + reserved;
   if (limit > 0 && waiting + tokens > limit) {
-    this->FinishSubmission(session, job, count, kTooManyRequests, "token limit",
-                           tokens);
+    this->FinishSubmission(session, job, count, http_status::kTooManyRequests,
+                           "token limit", tokens);
     return;
   }
   reserved += tokens;
@@ -220,13 +214,14 @@
         this->submitting.erase(job.job);
         this->reserved_tokens[job.route] -= tokens;
         if (result) {
-          this->FinishSubmission(session, job, count, kAccepted, "accepted",
-                                 tokens);
+          this->FinishSubmission(session, job, count, http_status::kAccepted,
+                                 "accepted", tokens);
         } else if (result.error().verdict == Verdict::kNotRun) {
-          this->FinishSubmission(session, job, count, kUnavailable,
+          this->FinishSubmission(session, job, count, http_status::kUnavailable,
                                  result.error().message, tokens);
         } else {
-          this->FinishSubmission(session, job, count, kGatewayTimeout,
+          this->FinishSubmission(session, job, count,
+                                 http_status::kGatewayTimeout,
                                  result.error().message, tokens);
         }
       });
@@ -239,7 +234,8 @@
     std::uint32_t status,
     const std::string& outcome,
     std::uint64_t tokens) {
-  const bool is_refusal = status == kTooManyRequests || status == kUnavailable;
+  const bool is_refusal = status == http_status::kTooManyRequests ||
+                          status == http_status::kUnavailable;
   session->Respond(
       status,
       is_refusal ? platform::RefusalFields(kSubmitRetryAfter) : HeaderFields(),
@@ -272,7 +268,7 @@
     if (!is_current) {
       this->RefuseUnsure(session, call);
     } else if (!this->AnswerCall(session, call)) {
-      session->Respond(kNotFound, {}, "");
+      session->Respond(http_status::kNotFound, {}, "");
     }
   });
 }
@@ -299,10 +295,10 @@
       [&call](const BoardItem& item) { return item.spec.id == call.item; });
   if (found == job.items.end() || found->state != ItemState::kOpen ||
       job.is_ended) {
-    session->Respond(kNotFound, {}, "");
+    session->Respond(http_status::kNotFound, {}, "");
     return;
   }
-  session->Respond(kOk,
+  session->Respond(http_status::kOk,
                    HeaderFields::WithContentType("application/octet-stream"),
                    found->body);
 }
@@ -327,7 +323,8 @@
     this->RefuseUnsure(session, call);
     return;
   }
-  session->Respond(kOk, HeaderFields::WithContentType("application/json"),
+  session->Respond(http_status::kOk,
+                   HeaderFields::WithContentType("application/json"),
                    platform::EncodeResults(job, call.first_position));
 }
 
@@ -386,8 +383,8 @@
             {"reason", "store away"},
             {"age_ms", MillisecondsText(BootTimeNow() -
                                         this->follower.current_as_of())}});
-  session->Respond(kUnavailable, platform::RefusalFields(kSubmitRetryAfter),
-                   "");
+  session->Respond(http_status::kUnavailable,
+                   platform::RefusalFields(kSubmitRetryAfter), "");
 }
 
 void BatchService::EndJob(const std::shared_ptr<ServerSession>& session,
@@ -398,7 +395,7 @@
       if (this->board.Find(call.job) != nullptr) {
         this->EndJob(session, call);
       } else if (is_current) {
-        session->Respond(kNotFound, {}, "");
+        session->Respond(http_status::kNotFound, {}, "");
       } else {
         this->RefuseUnsure(session, call);
       }
@@ -406,17 +403,17 @@
     return;
   }
   if (job->is_ended) {
-    session->Respond(kOk, {}, "");
+    session->Respond(http_status::kOk, {}, "");
     return;
   }
   this->writer.AppendEnd(call.job, [session](auto result) {
     if (result) {
-      session->Respond(kOk, {}, "");
+      session->Respond(http_status::kOk, {}, "");
     } else if (result.error().verdict == Verdict::kNotRun) {
-      session->Respond(kUnavailable, platform::RefusalFields(kSubmitRetryAfter),
-                       "");
+      session->Respond(http_status::kUnavailable,
+                       platform::RefusalFields(kSubmitRetryAfter), "");
     } else {
-      session->Respond(kGatewayTimeout, {}, "");
+      session->Respond(http_status::kGatewayTimeout, {}, "");
     }
   });
 }
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibAsyncHttp/http_status.h"
 #include "LibAsyncHttp/http_text.h"
 #include "LibEvents/event_log.h"
 #include "platform/request_headers.h"
@@ -11,11 +12,6 @@
 
 namespace {
 
-constexpr std::uint32_t kServerError = 500;
-constexpr std::uint32_t kBadGateway = 502;
-constexpr std::uint32_t kUnavailable = 503;
-constexpr std::uint32_t kGatewayTimeout = 504;
-
 /// Wait of a caller that names none.
 constexpr Duration kDefaultPatience = std::chrono::seconds(30);
 /// When to come back if no replica of the endpoint is known: about the time in
@@ -74,9 +70,9 @@
       this->options.endpoint, this->tried, now);
   if (!chosen) {
     if (this->has_response_begun) {
-      this->Fail(kBadGateway, "no replica to go on at");
+      this->Fail(http_status::kBadGateway, "no replica to go on at");
     } else if (this->runs > 0) {
-      this->Fail(kBadGateway, "no other replica");
+      this->Fail(http_status::kBadGateway, "no other replica");
     } else {
       this->Refuse("no replica", kNoReplicaRetryAfter);
     }
@@ -174,7 +170,7 @@
       end.end == ExchangeEnd::kComplete && end.verdict != Verdict::kNotRun;
   if (is_whole && (this->is_usable || !IsSuccess(this->head.status))) {
     const auto route = this->options.route;
-    const bool may_try_again = this->head.status >= kServerError &&
+    const bool may_try_again = this->head.status >= http_status::kServerError &&
                                route->is_repeatable() &&
                                this->runs < route->max_attempts;
     if (!may_try_again) {
@@ -190,9 +186,9 @@
     this->options.session->SendBody(this->events.rest());
     this->options.session->FinishResponse();
   } else if (this->has_response_begun) {
-    this->Fail(kBadGateway, "replica answered " +
-                                std::to_string(this->head.status) +
-                                " to a resumed stream");
+    this->Fail(http_status::kBadGateway, "replica answered " +
+                                             std::to_string(this->head.status) +
+                                             " to a resumed stream");
     return;
   } else {
     if (!this->first_time) {
@@ -235,7 +231,7 @@
       return;
     case NextStep::kFail:
     case NextStep::kBreak:
-      this->Fail(kBadGateway, end.reason);
+      this->Fail(http_status::kBadGateway, end.reason);
       return;
   }
 }
@@ -245,7 +241,7 @@
     this->attempt->Cancel();
   }
   if (this->attempt || this->runs > 0) {
-    this->Fail(kGatewayTimeout, "deadline");
+    this->Fail(http_status::kGatewayTimeout, "deadline");
   } else {
     this->Refuse("deadline", kNoReplicaRetryAfter);
   }
@@ -279,9 +275,9 @@
        {"retry_after_ms", MillisecondsText(retry_after)},
        {"config", std::to_string(this->options.config->version)},
        {"registry_age_ms", MillisecondsText(this->context.registry_age())}});
-  this->options.session->Respond(kUnavailable,
+  this->options.session->Respond(http_status::kUnavailable,
                                  platform::RefusalFields(retry_after), "");
-  this->Finish("refused", kUnavailable, Verdict::kNotRun);
+  this->Finish("refused", http_status::kUnavailable, Verdict::kNotRun);
 }
 
 void ForwardedRequest::Fail(std::uint32_t status, const std::string& reason) {
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "Gateway/forwarded_request.h"
+#include "LibAsyncHttp/http_status.h"
 #include "LibCore/text.h"
 #include "LibEvents/event_log.h"
 #include "LibNetwork/peer_address.h"
@@ -17,11 +18,6 @@
 
 namespace {
 
-constexpr std::uint32_t kOk = 200;
-constexpr std::uint32_t kBadRequest = 400;
-constexpr std::uint32_t kNotFound = 404;
-constexpr std::uint32_t kUnavailable = 503;
-
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
 /// When to come back while no configuration is known: reading it takes a few
 /// round trips to the store.
@@ -287,8 +283,8 @@
 void Gateway::HandleRequest(const std::shared_ptr<ServerSession>& session,
                             Request request) {
   if (!this->config) {
-    session->Respond(kUnavailable, platform::RefusalFields(kNoConfigRetryAfter),
-                     "");
+    session->Respond(http_status::kUnavailable,
+                     platform::RefusalFields(kNoConfigRetryAfter), "");
     return;
   }
   if (const auto call = platform::DecodeBatchCall(request.head)) {
@@ -297,12 +293,12 @@
   }
   const std::string_view host = HostOf(request.head);
   if (host.empty()) {
-    session->Respond(kBadRequest, {}, "");
+    session->Respond(http_status::kBadRequest, {}, "");
     return;
   }
   const Route* route = this->config->FindRoute(host, request.head.path());
   if (route == nullptr) {
-    session->Respond(kNotFound, {}, "");
+    session->Respond(http_status::kNotFound, {}, "");
     return;
   }
   if (route->kind == RequestKind::kBatch) {
@@ -338,10 +334,11 @@
 void Gateway::HandleReady(const std::shared_ptr<ServerSession>& session,
                           const Request& request) {
   if (request.head.path() != platform::call::kReady) {
-    session->Respond(kNotFound, {}, "");
+    session->Respond(http_status::kNotFound, {}, "");
     return;
   }
-  session->Respond(this->is_ready() ? kOk : kUnavailable, {}, "");
+  session->Respond(
+      this->is_ready() ? http_status::kOk : http_status::kUnavailable, {}, "");
 }
 
 void Gateway::HandleMetrics(const std::shared_ptr<ServerSession>& session) {
@@ -356,7 +353,7 @@
   add("crocus_batch_items_running", this->batch->runner().running());
   add("crocus_batch_results_unwritten", this->batch->unwritten());
   add("crocus_configuration_version", this->config ? this->config->version : 0);
-  session->Respond(kOk,
+  session->Respond(http_status::kOk,
                    HeaderFields::WithContentType("text/plain; version=0.0.4"),
                    std::move(text));
 }
