Keep the sum of the peers' load reports per replica

Change: ReplicaLoads updates the sums with each report; expired reports are dropped by the gateway's tick of 100 ms. The test of expiry drops them itself and checks in addition that a report of 1 s still counts.

--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -74,7 +74,7 @@
   std::vector<SpreadTarget> targets;
   double peer_requests = 0;
   for (const auto* replica : this->Candidates(endpoint, tried, now)) {
-    const OutstandingRequests load = this->loads.Total(replica->id, now);
+    const OutstandingRequests load = this->loads.Total(replica->id);
     const std::uint32_t requests_ahead =
         load.total() < replica->slots ? 0 : load.total() - replica->slots + 1;
     peer_requests += load.online - this->loads.Own(replica->id).online;
@@ -116,7 +116,7 @@
   std::optional<PlacementChoice> best;
   double best_cost = 0;
   for (const auto* replica : this->Candidates(endpoint, excluded, now)) {
-    const OutstandingRequests load = this->loads.Total(replica->id, now);
+    const OutstandingRequests load = this->loads.Total(replica->id);
     if (load.total() + reserve >= replica->slots ||
         this->loads.IsInBackoff(replica->id, now)) {
       continue;
--- a/Libraries/LibServing/replica_loads.cc
+++ b/Libraries/LibServing/replica_loads.cc
@@ -47,11 +47,44 @@
   this->health.erase(replica);
 }
 
+void ReplicaLoads::SubtractFromTotals(const PeerReport& report) {
+  for (const auto& [replica, outstanding] : report.loads) {
+    const auto found = this->peer_totals.find(replica);
+    VERIFY(found != this->peer_totals.end() &&
+           found->second.online >= outstanding.online &&
+           found->second.batch >= outstanding.batch);
+    found->second.online -= outstanding.online;
+    found->second.batch -= outstanding.batch;
+    if (found->second.total() == 0) {
+      this->peer_totals.erase(found);
+    }
+  }
+}
+
 void ReplicaLoads::OnPeerReport(
     const std::string& peer,
     std::map<std::string, OutstandingRequests> loads,
     TimePoint now) {
-  this->peer_reports[peer] = {.loads = std::move(loads), .received = now};
+  std::erase_if(loads,
+                [](const auto& entry) { return entry.second.total() == 0; });
+  PeerReport& report = this->peer_reports[peer];
+  this->SubtractFromTotals(report);
+  report = {.loads = std::move(loads), .received = now};
+  for (const auto& [replica, outstanding] : report.loads) {
+    auto& total = this->peer_totals[replica];
+    total.online += outstanding.online;
+    total.batch += outstanding.batch;
+  }
+}
+
+void ReplicaLoads::DropExpiredReports(TimePoint now) {
+  std::erase_if(this->peer_reports, [this, now](const auto& entry) {
+    if (now - entry.second.received <= this->options.peer_report_lifetime) {
+      return false;
+    }
+    this->SubtractFromTotals(entry.second);
+    return true;
+  });
 }
 
 OutstandingRequests ReplicaLoads::Own(const std::string& replica) const {
@@ -59,25 +92,18 @@
   return found == this->own_loads.end() ? OutstandingRequests{} : found->second;
 }
 
-OutstandingRequests ReplicaLoads::Total(const std::string& replica,
-                                        TimePoint now) const {
+OutstandingRequests ReplicaLoads::Total(const std::string& replica) const {
   OutstandingRequests total = this->Own(replica);
-  for (const auto& [peer, report] : this->peer_reports) {
-    if (now - report.received > this->options.peer_report_lifetime) {
-      continue;
-    }
-    if (const auto found = report.loads.find(replica);
-        found != report.loads.end()) {
-      total.online += found->second.online;
-      total.batch += found->second.batch;
-    }
+  if (const auto found = this->peer_totals.find(replica);
+      found != this->peer_totals.end()) {
+    total.online += found->second.online;
+    total.batch += found->second.batch;
   }
   return total;
 }
 
 std::uint32_t ReplicaLoads::OwnShareOfExcess(std::uint32_t excess,
-                                             const std::string& replica,
-                                             TimePoint now) const {
+                                             const std::string& replica) const {
   // The order differs between replicas, so that no host is always the first to
   // end its runs.
   const auto rank = [&replica](const std::string& host) {
@@ -87,9 +113,7 @@
   std::uint32_t earlier = 0;
   for (const auto& [peer, report] : this->peer_reports) {
     const auto found = report.loads.find(replica);
-    if (found != report.loads.end() &&
-        now - report.received <= this->options.peer_report_lifetime &&
-        rank(peer) < own_rank) {
+    if (found != report.loads.end() && rank(peer) < own_rank) {
       earlier += found->second.batch;
     }
   }
--- a/Libraries/LibServing/replica_loads.h
+++ b/Libraries/LibServing/replica_loads.h
@@ -56,17 +56,19 @@
   void OnPeerReport(const std::string& peer,
                     std::map<std::string, OutstandingRequests> loads,
                     TimePoint now);
+  /// Drops reports that are older than `peer_report_lifetime`. Must be called
+  /// regularly: until then, such reports still count.
+  void DropExpiredReports(TimePoint now);
 
   /// Requests of this host and its peers together.
-  OutstandingRequests Total(const std::string& replica, TimePoint now) const;
+  OutstandingRequests Total(const std::string& replica) const;
   /// Requests of this host.
   OutstandingRequests Own(const std::string& replica) const;
   /// This host's share of `excess` batch runs that have to end at the replica.
   /// All hosts compute the same order in which they end their runs, so that
   /// together they end that many runs, instead of one or more each.
   std::uint32_t OwnShareOfExcess(std::uint32_t excess,
-                                 const std::string& replica,
-                                 TimePoint now) const;
+                                 const std::string& replica) const;
   /// Requests of this host by replica, without replicas that have none.
   std::map<std::string, OutstandingRequests> OwnLoads() const;
 
@@ -88,11 +90,15 @@
   };
 
   void StartBackoff(Health& health, TimePoint now) const;
+  void SubtractFromTotals(const PeerReport& report);
 
   const ReplicaLoadsOptions options;
   std::map<std::string, OutstandingRequests> own_loads;
   std::map<std::string, Health> health;
   std::map<std::string, PeerReport> peer_reports;
+  /// Sum of `peer_reports` by replica. It is updated with each report, since a
+  /// placement reads it for every replica of an endpoint.
+  std::map<std::string, OutstandingRequests> peer_totals;
   std::string own_name;
 };
 
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -115,7 +115,6 @@
 }
 
 void BatchRunner::PreemptRuns() {
-  const TimePoint now = BootTimeNow();
   std::vector<std::pair<ItemReference, std::string>> items_to_stop;
   // Number of runs to stop at each replica.
   std::map<std::string, std::uint32_t> excess;
@@ -124,10 +123,10 @@
     if (record == nullptr || own.batch == 0) {
       continue;
     }
-    const OutstandingRequests total = this->context.loads.Total(replica, now);
+    const OutstandingRequests total = this->context.loads.Total(replica);
     if (total.total() > record->slots && total.batch > 0) {
       excess[replica] = this->context.loads.OwnShareOfExcess(
-          total.total() - record->slots, replica, now);
+          total.total() - record->slots, replica);
     }
   }
   const auto routing_config = this->config();
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -369,6 +369,7 @@
 }
 
 void Gateway::Tick() {
+  this->loads.DropExpiredReports(BootTimeNow());
   for (const auto& replica : this->directory.RemoveExpired(BootTimeNow())) {
     LogEvent(Event::kReplicaChanged,
              {{"replica", replica},
--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -64,6 +64,9 @@
 TEST(Placement_ThreeZones, PeerLoadCountsUntilItsReportExpires) {
   this->loads.OnPeerReport("peer", {{"z1", {.online = 4}}}, kStart);
   STRCMP_EQUAL("z2", this->Online().c_str());
+  this->loads.DropExpiredReports(kStart + std::chrono::seconds(1));
+  STRCMP_EQUAL("z2", this->Online().c_str());
+  this->loads.DropExpiredReports(kStart + std::chrono::seconds(2));
   const auto later = this->placement.ChooseOnline(
       "model", {}, kStart + std::chrono::seconds(2));
   STRCMP_EQUAL("z1", later->replica.c_str());
--- a/Tests/LibServing/replica_loads_test.cc
+++ b/Tests/LibServing/replica_loads_test.cc
@@ -32,10 +32,35 @@
       for (std::uint32_t run = 0; run < runs[host]; ++run) {
         loads.OnSent("i-1", WorkClass::kBatch);
       }
-      ended += loads.OwnShareOfExcess(excess, "i-1", kStart);
+      ended += loads.OwnShareOfExcess(excess, "i-1");
     }
     CHECK_EQUAL(std::min(excess, kTotal), ended);
   }
 }
 
+TEST_GROUP(ReplicaLoads_PeerReports) {
+  ReplicaLoads loads;
+};
+
+// Guards against totals that drift from the reports when reports are replaced,
+// become empty or expire.
+TEST(ReplicaLoads_PeerReports, TotalIsTheSumOfTheNewestReports) {
+  this->loads.OnSent("i-1", WorkClass::kOnline);
+  this->loads.OnPeerReport("a", {{"i-1", {.online = 2, .batch = 1}}}, kStart);
+  this->loads.OnPeerReport("b", {{"i-1", {.online = 1}}, {"i-2", {.batch = 4}}},
+                           kStart + std::chrono::seconds(1));
+  CHECK((this->loads.Total("i-1") ==
+         OutstandingRequests{.online = 4, .batch = 1}));
+  this->loads.OnPeerReport("b", {{"i-2", {.batch = 3}}},
+                           kStart + std::chrono::seconds(1));
+  CHECK((this->loads.Total("i-1") ==
+         OutstandingRequests{.online = 3, .batch = 1}));
+  CHECK((this->loads.Total("i-2") == OutstandingRequests{.batch = 3}));
+  this->loads.DropExpiredReports(kStart + std::chrono::seconds(2));
+  CHECK((this->loads.Total("i-1") == OutstandingRequests{.online = 1}));
+  CHECK((this->loads.Total("i-2") == OutstandingRequests{.batch = 3}));
+  this->loads.DropExpiredReports(kStart + std::chrono::seconds(3));
+  CHECK((this->loads.Total("i-2") == OutstandingRequests{}));
+}
+
 }  // namespace crocus
