Report loads within a zone and sums between zones in large fleets

Change: ReportPlan decides who gets which report. Beyond 20 peers, a gateway reports to its own zone; one gateway of each zone sends the zone's sum to one gateway of each other zone every 100 ms, which passes it on. A gateway whose zone is not known (an earlier version) gets direct reports as before. The record of a peer address names the zone.

--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -41,6 +41,7 @@
   kLoadChange = 30,
   kFencingFloors = 31,
   kOutstandingReport = 32,
+  kZoneReport = 33,
 };
 
 /// True if this version defines the type.
@@ -67,6 +68,7 @@
     case MessageType::kLoadChange:
     case MessageType::kFencingFloors:
     case MessageType::kOutstandingReport:
+    case MessageType::kZoneReport:
       return true;
   }
   return false;
@@ -590,6 +592,37 @@
   }
 };
 
+/// Sum of the newest reports of the gateways of an availability zone. One of
+/// them sends it to one gateway of each other zone, which passes it on within
+/// its zone. It replaces the zone's previous report.
+struct ZoneReport {
+  static constexpr MessageType kType = MessageType::kZoneReport;
+
+  /// Chosen at random by each start of a process.
+  std::uint64_t sender{0};
+  /// Increases with each report of a sender; older reports are dropped.
+  std::uint64_t sequence{0};
+  std::string availability_zone{};
+  /// True if the receiver does not pass it on.
+  bool is_relayed{false};
+  std::vector<ReplicaOutstanding> replicas{};
+  /// Hashes of the batch items that the zone's gateways run.
+  std::vector<std::uint64_t> items{};
+  /// Due time of the most urgent item that waits for a slot in the zone, in ms
+  /// since the Unix epoch; 0 if no waiting item can be finished in time.
+  std::int64_t next_due_ms{0};
+  /// Hashes of the addresses of the zone's running gateways.
+  std::vector<std::uint64_t> members{};
+
+  bool operator==(const ZoneReport&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, sequence, availability_zone, is_relayed, replicas, items,
+            next_due_ms, members);
+  }
+};
+
 }  // namespace crocus::messages
 
 #endif  // LIBMESSAGES_MESSAGES_H_
--- a/Libraries/LibServing/peer_items.h
+++ b/Libraries/LibServing/peer_items.h
@@ -9,6 +9,7 @@
 #include <tuple>
 
 #include "LibCore/time.h"
+#include "LibServing/report_source.h"
 
 namespace crocus {
 
@@ -32,17 +33,23 @@
 /// one.
 class PeerItems {
  public:
-  /// Replaces the peer's previous report. `item_hashes` are the hashes of the
-  /// items that run at the peer. `next_due_ms` is the earliest due time of
+  /// Replaces the previous report of the source. `item_hashes` are the hashes
+  /// of the items that run there. `next_due_ms` is the earliest due time of
   /// those that wait there, in ms since the Unix epoch; 0 if no item waits.
-  void OnReport(const std::string& peer,
+  void OnReport(const ReportSource& source,
                 std::set<std::uint64_t> item_hashes,
                 std::int64_t next_due_ms,
                 TimePoint now);
 
-  /// Earliest due time of an item that waits at a peer, in ms since the Unix
-  /// epoch; none if no item waits.
-  std::optional<std::int64_t> EarliestDue(TimePoint now) const;
+  /// Earliest due time of an item that waits at a peer, or only at the peers of
+  /// that zone, in ms since the Unix epoch; none if no item waits.
+  std::optional<std::int64_t> EarliestDue(
+      TimePoint now,
+      const std::optional<std::string>& zone = std::nullopt) const;
+
+  /// Hashes of the items that run at the peers in that zone.
+  std::set<std::uint64_t> ItemsInZone(const std::string& zone,
+                                      TimePoint now) const;
 
   bool IsRunning(const ItemReference& item, TimePoint now) const;
 
@@ -53,7 +60,11 @@
     TimePoint received{};
   };
 
-  std::map<std::string, Report> reports;
+  /// Calls `visit` for each report that has not expired.
+  template <typename Visit>
+  void VisitReports(TimePoint now, Visit visit) const;
+
+  std::map<ReportSource, Report> reports;
 };
 
 }  // namespace crocus
--- a/Libraries/LibServing/replica_loads.cc
+++ b/Libraries/LibServing/replica_loads.cc
@@ -1,6 +1,7 @@
 #include "LibServing/replica_loads.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "LibCore/assertions.h"
@@ -62,12 +63,26 @@
 }
 
 void ReplicaLoads::OnPeerReport(
-    const std::string& peer,
+    const ReportSource& source,
     std::map<std::string, OutstandingRequests> loads,
     TimePoint now) {
+  if (source.is_whole_zone()) {
+    std::erase_if(this->peer_reports, [this, &source](const auto& entry) {
+      if (entry.first.availability_zone != source.availability_zone ||
+          entry.first.is_whole_zone()) {
+        return false;
+      }
+      this->SubtractFromTotals(entry.second);
+      return true;
+    });
+  } else if (this->peer_reports.contains(
+                 {.availability_zone = source.availability_zone,
+                  .host = {}})) {
+    return;
+  }
   std::erase_if(loads,
                 [](const auto& entry) { return entry.second.total() == 0; });
-  PeerReport& report = this->peer_reports[peer];
+  PeerReport& report = this->peer_reports[source];
   this->SubtractFromTotals(report);
   report = {.loads = std::move(loads), .received = now};
   for (const auto& [replica, outstanding] : report.loads) {
@@ -105,15 +120,17 @@
 std::uint32_t ReplicaLoads::OwnShareOfExcess(std::uint32_t excess,
                                              const std::string& replica) const {
   // The order differs between replicas, so that no host is always the first to
-  // end its runs.
-  const auto rank = [&replica](const std::string& host) {
-    return std::pair(HashBytes(replica + host), host);
+  // end its runs. Hosts of a zone follow each other in it, since other zones
+  // know only their sum.
+  const auto rank = [&replica](const ReportSource& source) {
+    return std::tuple(HashBytes(replica + source.availability_zone),
+                      HashBytes(replica + source.host), source);
   };
-  const auto own_rank = rank(this->own_name);
+  const auto own_rank = rank(this->own_source);
   std::uint32_t earlier = 0;
-  for (const auto& [peer, report] : this->peer_reports) {
+  for (const auto& [source, report] : this->peer_reports) {
     const auto found = report.loads.find(replica);
-    if (found != report.loads.end() && rank(peer) < own_rank) {
+    if (found != report.loads.end() && rank(source) < own_rank) {
       earlier += found->second.batch;
     }
   }
@@ -131,6 +148,22 @@
   return loads;
 }
 
+std::map<std::string, OutstandingRequests> ReplicaLoads::ZoneLoads() const {
+  auto loads = this->OwnLoads();
+  for (const auto& [source, report] : this->peer_reports) {
+    if (source.availability_zone != this->own_source.availability_zone ||
+        source.is_whole_zone()) {
+      continue;
+    }
+    for (const auto& [replica, outstanding] : report.loads) {
+      auto& total = loads[replica];
+      total.online += outstanding.online;
+      total.batch += outstanding.batch;
+    }
+  }
+  return loads;
+}
+
 bool ReplicaLoads::IsInBackoff(const std::string& replica,
                                TimePoint now) const {
   const auto found = this->health.find(replica);
--- a/Libraries/LibServing/replica_loads.h
+++ b/Libraries/LibServing/replica_loads.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibCore/time.h"
+#include "LibServing/report_source.h"
 
 namespace crocus {
 
@@ -49,11 +50,15 @@
   void OnFailure(const std::string& replica, TimePoint now);
   void OnSuccess(const std::string& replica);
 
-  /// Sets the name under which peers record this host's reports.
-  void set_own_name(const std::string& name) { this->own_name = name; }
+  /// Sets the source under which peers record this host's reports.
+  void set_own_source(const ReportSource& source) {
+    this->own_source = source;
+  }
 
-  /// Replaces the peer's previous report.
-  void OnPeerReport(const std::string& peer,
+  /// Replaces the previous report of the source. The report of a whole zone
+  /// also replaces those of the zone's hosts; as long as it counts, theirs are
+  /// ignored.
+  void OnPeerReport(const ReportSource& source,
                     std::map<std::string, OutstandingRequests> loads,
                     TimePoint now);
   /// Drops reports that are older than `peer_report_lifetime`. Must be called
@@ -71,6 +76,9 @@
                                  const std::string& replica) const;
   /// Requests of this host by replica, without replicas that have none.
   std::map<std::string, OutstandingRequests> OwnLoads() const;
+  /// Requests of this host and the other hosts of its zone by replica, without
+  /// replicas that have none.
+  std::map<std::string, OutstandingRequests> ZoneLoads() const;
 
   /// True while the replica is avoided after failures.
   bool IsInBackoff(const std::string& replica, TimePoint now) const;
@@ -95,11 +103,11 @@
   const ReplicaLoadsOptions options;
   std::map<std::string, OutstandingRequests> own_loads;
   std::map<std::string, Health> health;
-  std::map<std::string, PeerReport> peer_reports;
+  std::map<ReportSource, PeerReport> peer_reports;
   /// Sum of `peer_reports` by replica. It is updated with each report, since a
   /// placement reads it for every replica of an endpoint.
   std::map<std::string, OutstandingRequests> peer_totals;
-  std::string own_name;
+  ReportSource own_source;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -20,6 +20,9 @@
 const std::string kAssignmentTopic = "crocus.work";
 const std::string kGroup = "crocus.batch";
 constexpr std::string_view kPeerPrefix = "peer/";
+/// Separates the host name and the availability zone in the record of a peer
+/// address. Earlier versions wrote the host name only.
+constexpr char kPeerFieldSeparator = ' ';
 
 /// Interval of the checks for pending reads whose wait is over.
 constexpr Duration kPendingReadCheckInterval = std::chrono::milliseconds(50);
@@ -34,6 +37,14 @@
 /// since the clocks of hosts differ.
 constexpr Duration kExpiryMargin = std::chrono::seconds(30);
 
+/// The availability zone in the record of a peer address; empty if there is
+/// none.
+std::string ZoneOfPeerRecord(const std::string& value) {
+  const auto separator = value.rfind(kPeerFieldSeparator);
+  return separator == std::string::npos ? std::string()
+                                        : value.substr(separator + 1);
+}
+
 }  // namespace
 
 BatchService::BatchService(ForwardingContext& context,
@@ -98,8 +109,9 @@
 void BatchService::OnRecord(const KeyedRecord& record) {
   if (record.key.rfind(kPeerPrefix, 0) == 0) {
     const std::string address = record.key.substr(kPeerPrefix.size());
-    this->announced_peers.insert(address);
-    this->options.on_peer(address);
+    const std::string& value = this->announced_peers[address] =
+        record.value.value_or("");
+    this->options.on_peer(address, ZoneOfPeerRecord(value));
     return;
   }
   if (const auto applied = this->job_table.Apply(record); !applied) {
@@ -115,13 +127,18 @@
 }
 
 void BatchService::AnnounceOwnAddress() {
-  if (this->announced_peers.contains(this->options.peer_address)) {
+  const std::string value =
+      this->options.host_name + kPeerFieldSeparator +
+      this->options.availability_zone;
+  if (const auto found =
+          this->announced_peers.find(this->options.peer_address);
+      found != this->announced_peers.end() && found->second == value) {
     return;
   }
   this->store.Append(
       kStateTopic,
       {{.key = std::string(kPeerPrefix) + this->options.peer_address,
-        .value = this->options.host_name}},
+        .value = value}},
       [](auto reply) {
         if (!reply) {
           // Peers also obtain the address from this host's reports.
--- a/Services/Gateway/batch_service.h
+++ b/Services/Gateway/batch_service.h
@@ -33,8 +33,10 @@
   Duration maximum_job_table_age = std::chrono::milliseconds(1000);
   /// Address that this host's peers send reports to.
   std::string peer_address;
+  /// Zone of this host, which its peers learn with the address.
+  std::string availability_zone;
   /// Receives each address of a gateway that the store's records contain.
-  std::function<void(const std::string&)> on_peer;
+  std::function<void(const std::string&, const std::string&)> on_peer;
 };
 
 /// Serves the callers' batch requests from the jobs in the store, and runs the
@@ -131,7 +133,8 @@
   /// By job.
   std::map<std::string, PendingReads> pending_reads;
   /// Addresses of gateways that the store's records contain.
-  std::set<std::string> announced_peers;
+  /// Values of the records of the hosts' peer addresses, by address.
+  std::map<std::string, std::string> announced_peers;
   bool is_stopped = false;
 };
 
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -138,9 +138,10 @@
     TRY(this->metrics_listener.Listen(
         {caller_address.address(), this->settings.host.metrics_port}));
   }
-  TRY(this->peer_exchange.Open(this->settings.host.address,
-                               this->settings.host.peer_port));
-  this->loads.set_own_name(this->peer_exchange.own_address());
+  TRY(this->peer_exchange.Open(
+      {.address = this->settings.host.address,
+       .port = this->settings.host.peer_port,
+       .availability_zone = this->settings.host.availability_zone}));
   this->config_follower = std::make_unique<KeyedFollower>(
       this->loop, this->store,
       KeyedFollowerOptions{.topic = std::string(platform::topic::kOperator),
@@ -189,8 +190,9 @@
           .result_retention = this->settings.limits.result_life,
           .maximum_job_table_age = this->settings.limits.quota_window,
           .peer_address = this->peer_exchange.own_address(),
-          .on_peer = [this](const auto& peer) {
-            this->peer_exchange.AddPeer(peer);
+          .availability_zone = this->settings.host.availability_zone,
+          .on_peer = [this](const auto& peer, const auto& zone) {
+            this->peer_exchange.AddPeer(peer, zone);
           }});
   this->peer_exchange.set_add_items([this](auto& report) {
     report.items = this->batch_service->runner().RunningItemHashes();
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -4,9 +4,11 @@
 #include <limits>
 #include <utility>
 
+#include "LibCore/hashing.h"
 #include "LibCore/random.h"
 #include "LibEvents/event_log.h"
 #include "LibMessages/codec.h"
+#include "LibMessages/frame.h"
 #include "LibMessages/messages.h"
 #include "LibNetwork/peer_address.h"
 
@@ -14,21 +16,38 @@
 
 namespace {
 
-/// Minimum interval between reports; changes in between share one.
-constexpr Duration kMinimumReportInterval = std::chrono::milliseconds(50);
 /// Interval between reports without a change. They keep the peers' copy of this
 /// host's load from expiring.
 constexpr Duration kMaximumReportInterval = std::chrono::milliseconds(500);
-/// A peer whose last report is older than this gets reports at
-/// kIdlePeerReportInterval only.
-constexpr Duration kIdlePeerThreshold = std::chrono::seconds(5);
-constexpr Duration kIdlePeerReportInterval = std::chrono::seconds(2);
+/// Interval between the reports of a zone. Each crosses zones, which is billed.
+constexpr Duration kZoneReportInterval = std::chrono::milliseconds(100);
 
 std::uint16_t ClampToUint16(std::uint32_t count) {
   return static_cast<std::uint16_t>(std::min<std::uint32_t>(
       count, std::numeric_limits<std::uint16_t>::max()));
 }
 
+std::vector<messages::ReplicaOutstanding> ToMessage(
+    const std::map<std::string, OutstandingRequests>& loads) {
+  std::vector<messages::ReplicaOutstanding> replicas;
+  replicas.reserve(loads.size());
+  for (const auto& [replica, outstanding] : loads) {
+    replicas.push_back({.replica = replica,
+                        .online = ClampToUint16(outstanding.online),
+                        .batch = ClampToUint16(outstanding.batch)});
+  }
+  return replicas;
+}
+
+/// Zone reports are sent as frames, reports of a host without a frame header.
+/// The length in the header tells them apart: a host's report begins with a
+/// random number.
+bool IsFrameOf(messages::MessageType type, std::string_view bytes) {
+  const auto header = DecodeFrameHeader(bytes);
+  return header && header->type == type &&
+         header->body_bytes + kFrameHeaderBytes == bytes.size();
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(boost::asio::io_context& loop,
@@ -38,51 +57,61 @@
       items(items),
       socket(loop),
       timer(loop),
+      zone_timer(loop),
       sender(SystemRandom()) {}
 
-Result<void> PeerExchange::Open(const std::string& address,
-                                std::uint16_t port) {
+Result<void> PeerExchange::Open(const PeerExchangeOptions& options) {
   boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address(address, error);
+  const auto ip = boost::asio::ip::make_address(options.address, error);
   if (!error) {
     this->socket.open(boost::asio::ip::udp::v4(), error);
   }
   if (!error) {
-    this->socket.bind({ip, port}, error);
+    this->socket.bind({ip, options.port}, error);
   }
   if (error) {
     return Failure(ErrorCode::kUnavailable,
                    "cannot open the peer port: " + error.message());
   }
   this->own_peer_address =
-      address + ":" + std::to_string(this->socket.local_endpoint().port());
+      options.address + ":" +
+      std::to_string(this->socket.local_endpoint().port());
+  this->own_zone = options.availability_zone;
+  this->plan.emplace(ReportPlanOptions{.own_address = this->own_peer_address,
+                                       .own_zone = this->own_zone});
+  this->loads.set_own_source({.availability_zone = this->own_zone,
+                              .host = this->own_peer_address});
   this->Receive();
   this->Schedule(kMaximumReportInterval);
+  this->ScheduleZoneReport();
   return {};
 }
 
 void PeerExchange::Stop() {
   this->is_stopped = true;
   this->timer.cancel();
+  this->zone_timer.cancel();
   boost::system::error_code ignored;
   this->socket.close(ignored);
 }
 
-void PeerExchange::AddPeer(const std::string& address) {
+void PeerExchange::AddPeer(const std::string& address,
+                           const std::string& zone) {
   const auto parsed = ParsePeerAddress(address);
-  if (!parsed || address == this->own_peer_address ||
-      this->peers.contains(address)) {
+  if (!parsed || !this->plan->AddPeer(address, zone, BootTimeNow())) {
     return;
   }
-  LogEvent(Event::kPeerChanged, {{"address", address}, {"state", "known"}});
-  this->peers[address] = {.endpoint = {parsed->address, parsed->port},
-                          .last_report_received = BootTimeNow()};
+  this->endpoints[address] = {parsed->address, parsed->port};
+  LogEvent(Event::kPeerChanged,
+           {{"address", address}, {"zone", zone}, {"state", "known"}});
 }
 
 void PeerExchange::OnLoadChange() {
   if (!std::exchange(this->has_unreported_change, true)) {
-    const Duration since = BootTimeNow() - this->last_sent;
-    this->Schedule(std::max(Duration::zero(), kMinimumReportInterval - since));
+    const TimePoint now = BootTimeNow();
+    this->Schedule(
+        std::max(Duration::zero(), this->last_sent +
+                                       this->plan->DirectInterval(now) - now));
   }
 }
 
@@ -98,31 +127,73 @@
   });
 }
 
+void PeerExchange::ScheduleZoneReport() {
+  this->zone_timer.expires_after(kZoneReportInterval);
+  this->zone_timer.async_wait([this](const auto& error) {
+    if (!error && !this->is_stopped) {
+      if (this->plan->is_zone_reporter(BootTimeNow())) {
+        this->SendZoneReport();
+      }
+      this->ScheduleZoneReport();
+    }
+  });
+}
+
+void PeerExchange::SendTo(const std::string& address,
+                          const std::string& bytes) {
+  // A lost report needs no retry: the next one contains the complete state.
+  boost::system::error_code ignored;
+  this->socket.send_to(boost::asio::buffer(bytes), this->endpoints.at(address),
+                       0, ignored);
+}
+
+messages::OutstandingReport PeerExchange::MakeHostReport() {
+  messages::OutstandingReport report{
+      .sender = this->sender,
+      .sequence = ++this->sequence,
+      .replicas = ToMessage(this->loads.OwnLoads())};
+  if (this->add_items) {
+    this->add_items(report);
+  }
+  return report;
+}
+
 void PeerExchange::SendReports() {
   this->has_unreported_change = false;
   this->last_sent = BootTimeNow();
-  messages::OutstandingReport report{.sender = this->sender,
-                                     .sequence = ++this->sequence};
-  for (const auto& [replica, outstanding] : this->loads.OwnLoads()) {
-    report.replicas.push_back({.replica = replica,
-                               .online = ClampToUint16(outstanding.online),
-                               .batch = ClampToUint16(outstanding.batch)});
+  const std::string bytes = Encode(this->MakeHostReport());
+  for (const auto& address :
+       this->plan->TakeDirectReceivers(this->last_sent)) {
+    this->SendTo(address, bytes);
   }
-  if (this->add_items) {
-    this->add_items(report);
+  this->Schedule(kMaximumReportInterval);
+}
+
+void PeerExchange::SendZoneReport() {
+  const TimePoint now = BootTimeNow();
+  const auto own = this->MakeHostReport();
+  messages::ZoneReport report{.sender = this->sender,
+                              .sequence = own.sequence,
+                              .availability_zone = this->own_zone,
+                              .replicas = ToMessage(this->loads.ZoneLoads()),
+                              .items = own.items,
+                              .next_due_ms = own.next_due_ms,
+                              .members = {HashBytes(this->own_peer_address)}};
+  const auto mates_items = this->items.ItemsInZone(this->own_zone, now);
+  report.items.insert(report.items.end(), mates_items.begin(),
+                      mates_items.end());
+  if (const auto due = this->items.EarliestDue(now, this->own_zone);
+      due && (report.next_due_ms == 0 || *due < report.next_due_ms)) {
+    report.next_due_ms = *due;
   }
-  const std::string bytes = Encode(report);
-  for (auto& [address, peer] : this->peers) {
-    if (this->last_sent - peer.last_report_received > kIdlePeerThreshold &&
-        this->last_sent - peer.last_report_sent < kIdlePeerReportInterval) {
-      continue;
-    }
-    peer.last_report_sent = this->last_sent;
-    // A lost report needs no retry: the next one contains the complete state.
-    boost::system::error_code ignored;
-    this->socket.send_to(boost::asio::buffer(bytes), peer.endpoint, 0, ignored);
+  for (const auto& mate : this->plan->ZoneMates(now)) {
+    report.members.push_back(HashBytes(mate));
+  }
+  const std::string bytes = EncodeFrame(MakeFrame(report));
+  for (const auto& address :
+       this->plan->ZoneReportReceivers(report.sequence, now)) {
+    this->SendTo(address, bytes);
   }
-  this->Schedule(kMaximumReportInterval);
 }
 
 void PeerExchange::Receive() {
@@ -134,43 +205,100 @@
           return;
         }
         if (!error) {
-          this->OnDatagram(bytes);
+          this->OnDatagram(std::string_view(this->buffer.data(), bytes));
         }
         this->Receive();
       });
 }
 
-void PeerExchange::OnDatagram(std::size_t bytes) {
+void PeerExchange::OnDatagram(std::string_view bytes) {
   const std::string address = this->source.address().to_string() + ":" +
                               std::to_string(this->source.port());
-  const auto report = Decode<messages::OutstandingReport>(
-      std::string_view(this->buffer.data(), bytes));
+  if (IsFrameOf(messages::ZoneReport::kType, bytes)) {
+    this->OnZoneReport(address, bytes.substr(kFrameHeaderBytes));
+  } else {
+    this->OnHostReport(address, bytes);
+  }
+}
+
+void PeerExchange::RejectReport(const std::string& address,
+                                const std::string& reason) {
+  LogEvent(Event::kPeerReportRejected, {{"peer", address}, {"reason", reason}});
+}
+
+bool PeerExchange::AcceptReport(const ReportSource& report_source,
+                                std::uint64_t report_sender,
+                                std::uint64_t report_sequence) {
+  LastReport& last = this->last_reports[report_source];
+  if (report_sender == last.sender && report_sequence <= last.sequence) {
+    return false;
+  }
+  last = {.sender = report_sender, .sequence = report_sequence};
+  return true;
+}
+
+void PeerExchange::OnHostReport(const std::string& address,
+                                std::string_view bytes) {
+  const auto report = Decode<messages::OutstandingReport>(bytes);
   if (!report) {
-    LogEvent(Event::kPeerReportRejected,
-             {{"peer", address}, {"reason", report.error().message}});
+    this->RejectReport(address, report.error().message);
     return;
   }
-  this->AddPeer(address);
-  const auto found = this->peers.find(address);
-  if (found == this->peers.end()) {
+  if (address == this->own_peer_address) {
     return;
   }
-  Peer& peer = found->second;
-  if (report->sender == peer.sender && report->sequence <= peer.sequence) {
+  this->AddPeer(address, "");
+  const ReportSource host{.availability_zone = this->plan->ZoneOf(address),
+                          .host = address};
+  if (this->AcceptReport(host, report->sender, report->sequence)) {
+    this->plan->OnReport(address, BootTimeNow());
+    this->ApplyReport(host, report->replicas, report->items,
+                      report->next_due_ms);
+  }
+}
+
+void PeerExchange::OnZoneReport(const std::string& address,
+                                std::string_view bytes) {
+  auto report = Decode<messages::ZoneReport>(bytes);
+  if (!report) {
+    this->RejectReport(address, report.error().message);
+    return;
+  }
+  const ReportSource zone{.availability_zone = report->availability_zone,
+                          .host = {}};
+  if (zone.availability_zone.empty() ||
+      zone.availability_zone == this->own_zone ||
+      !this->AcceptReport(zone, report->sender, report->sequence)) {
     return;
   }
-  peer.sender = report->sender;
-  peer.sequence = report->sequence;
-  peer.last_report_received = BootTimeNow();
+  const TimePoint now = BootTimeNow();
+  for (const auto member : report->members) {
+    this->plan->OnMember(member, now);
+  }
+  this->ApplyReport(zone, report->replicas, report->items, report->next_due_ms);
+  if (!std::exchange(report->is_relayed, true)) {
+    const std::string relayed = EncodeFrame(MakeFrame(*report));
+    for (const auto& mate : this->plan->ZoneMates(now)) {
+      this->SendTo(mate, relayed);
+    }
+  }
+}
+
+void PeerExchange::ApplyReport(
+    const ReportSource& report_source,
+    const std::vector<messages::ReplicaOutstanding>& replicas,
+    const std::vector<std::uint64_t>& running_items,
+    std::int64_t next_due_ms) {
+  const TimePoint now = BootTimeNow();
   std::map<std::string, OutstandingRequests> outstanding;
-  for (const auto& replica : report->replicas) {
+  for (const auto& replica : replicas) {
     outstanding[replica.replica] = {.online = replica.online,
                                     .batch = replica.batch};
   }
-  this->items.OnReport(address, {report->items.begin(), report->items.end()},
-                       report->next_due_ms, peer.last_report_received);
-  this->loads.OnPeerReport(address, std::move(outstanding),
-                           peer.last_report_received);
+  this->items.OnReport(report_source,
+                       {running_items.begin(), running_items.end()},
+                       next_due_ms, now);
+  this->loads.OnPeerReport(report_source, std::move(outstanding), now);
   if (this->on_report) {
     this->on_report();
   }
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -5,7 +5,10 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -16,12 +19,22 @@
 #include "LibMessages/messages.h"
 #include "LibServing/peer_items.h"
 #include "LibServing/replica_loads.h"
+#include "LibServing/report_plan.h"
+#include "LibServing/report_source.h"
 
 namespace crocus {
 
-/// Sends the other gateways reports of what this host has running at each
-/// replica, and receives theirs, so that each host places requests by the load
-/// from all hosts.
+/// Identity of this gateway among its peers.
+struct PeerExchangeOptions {
+  /// IP address and UDP port; port 0 lets the kernel choose.
+  std::string address;
+  std::uint16_t port = 0;
+  std::string availability_zone;
+};
+
+/// Exchanges reports of what each gateway has running at each replica, so that
+/// each host places requests by the load from all hosts. ReportPlan decides who
+/// receives which report.
 class PeerExchange {
  public:
   PeerExchange(boost::asio::io_context& loop,
@@ -29,11 +42,12 @@
                PeerItems& items);
 
   /// Fails with kUnavailable if the port cannot be opened.
-  Result<void> Open(const std::string& address, std::uint16_t port);
+  Result<void> Open(const PeerExchangeOptions& options);
   void Stop();
 
-  /// Adds another gateway by its address, IP:port. This host's own is skipped.
-  void AddPeer(const std::string& address);
+  /// Adds another gateway by its address, IP:port, and its availability zone,
+  /// which is empty if it is not known. This host's own address is skipped.
+  void AddPeer(const std::string& address, const std::string& zone);
 
   /// Schedules a report, which is sent after the minimum interval at the
   /// latest.
@@ -53,31 +67,48 @@
   const std::string& own_address() const { return this->own_peer_address; }
 
  private:
-  struct Peer {
-    boost::asio::ip::udp::endpoint endpoint;
-    TimePoint last_report_received{};
-    TimePoint last_report_sent{};
-    /// Sender and sequence number of its last accepted report. A report of the
-    /// same sender whose number is not higher is ignored.
+  /// Sender and sequence number of the last accepted report of a source. A
+  /// report of the same sender whose number is not higher is ignored.
+  struct LastReport {
     std::uint64_t sender = 0;
     std::uint64_t sequence = 0;
   };
 
   void Receive();
-  void OnDatagram(std::size_t bytes);
+  void OnDatagram(std::string_view bytes);
+  void OnHostReport(const std::string& address, std::string_view bytes);
+  void OnZoneReport(const std::string& address, std::string_view bytes);
+  /// Returns true, and notes the report, if it is newer than the last one of
+  /// that source.
+  bool AcceptReport(const ReportSource& source,
+                    std::uint64_t report_sender,
+                    std::uint64_t report_sequence);
+  void RejectReport(const std::string& address, const std::string& reason);
+  /// Passes a received report to the load table and the item table.
+  void ApplyReport(const ReportSource& source,
+                   const std::vector<messages::ReplicaOutstanding>& replicas,
+                   const std::vector<std::uint64_t>& running_items,
+                   std::int64_t next_due_ms);
+  messages::OutstandingReport MakeHostReport();
   void SendReports();
+  void SendZoneReport();
+  void SendTo(const std::string& address, const std::string& bytes);
   void Schedule(Duration delay);
+  void ScheduleZoneReport();
 
   ReplicaLoads& loads;
   PeerItems& items;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
+  boost::asio::steady_timer zone_timer;
   /// Identifies this process in its reports; drawn at random at its start.
   const std::uint64_t sender;
   std::uint64_t sequence = 0;
   std::string own_peer_address;
-  /// By their addresses.
-  std::map<std::string, Peer> peers;
+  std::string own_zone;
+  std::optional<ReportPlan> plan;
+  std::map<std::string, boost::asio::ip::udp::endpoint> endpoints;
+  std::map<ReportSource, LastReport> last_reports;
   /// Source and bytes of the last received datagram.
   boost::asio::ip::udp::endpoint source;
   std::array<char, 65536> buffer{};
--- a/Tests/LibServing/batch_job_table_test.cc
+++ b/Tests/LibServing/batch_job_table_test.cc
@@ -299,10 +299,10 @@
 // Guards against giving slots to any host instead of the one whose items are
 // due first, and against reserving slots for a host that is unavailable.
 TEST(BatchQueue_TwoJobs, EarliestDueTimeCountsLivePeersOnly) {
-  this->peers.OnReport("a", {}, 0, this->now);
+  this->peers.OnReport({"", "a"}, {}, 0, this->now);
   CHECK_FALSE(this->peers.EarliestDue(this->now).has_value());
-  this->peers.OnReport("a", {}, 5000, this->now);
-  this->peers.OnReport("b", {}, 4000, this->now);
+  this->peers.OnReport({"", "a"}, {}, 5000, this->now);
+  this->peers.OnReport({"", "b"}, {}, 4000, this->now);
   CHECK_EQUAL(4000, *this->peers.EarliestDue(this->now));
   CHECK_FALSE(
       this->peers.EarliestDue(this->now + std::chrono::seconds(2)).has_value());
@@ -348,7 +348,7 @@
 // of its job, and against an item that waits for a host that is unavailable.
 TEST(BatchQueue_TwoJobs, ItemsThatRunOnALivePeerAreSkipped) {
   const ItemReference first{.job = "early", .item = 0};
-  this->peers.OnReport("peer", {first.Hash()}, 0, this->now);
+  this->peers.OnReport({"", "peer"}, {first.Hash()}, 0, this->now);
   auto item = this->queue.Next(this->job_table, this->config, this->peers,
                                this->now, this->unix_now);
   CHECK_TRUE(item->item == (ItemReference{.job = "early", .item = 1}));
--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -62,7 +62,7 @@
 
 // Guards against placement without regard to the requests of other hosts.
 TEST(Placement_ThreeZones, PeerLoadCountsUntilItsReportExpires) {
-  this->loads.OnPeerReport("peer", {{"z1", {.online = 4}}}, kStart);
+  this->loads.OnPeerReport({"", "peer"}, {{"z1", {.online = 4}}}, kStart);
   STRCMP_EQUAL("z2", this->Online().c_str());
   this->loads.DropExpiredReports(kStart + std::chrono::seconds(1));
   STRCMP_EQUAL("z2", this->Online().c_str());
--- a/Tests/LibServing/placement_under_load_test.cc
+++ b/Tests/LibServing/placement_under_load_test.cc
@@ -111,7 +111,7 @@
   void Report(int host, int now) {
     for (int other = 0; other < kHosts; ++other) {
       if (other != host) {
-        this->loads[other].OnPeerReport("host" + std::to_string(host),
+        this->loads[other].OnPeerReport({"", "host" + std::to_string(host)},
                                         this->loads[host].OwnLoads(),
                                         TimeAt(now));
       }
