--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -151,6 +151,8 @@
       return "batch_record_rejected";
     case Event::kJobReadRefused:
       return "job_read_refused";
+    case Event::kBatchDataReadFailed:
+      return "batch_data_read_failed";
     case Event::kPeerChanged:
       return "peer_changed";
     case Event::kPeerReportRejected:
@@ -232,6 +234,7 @@
     case Event::kLogLinesDropped:
     case Event::kReplicaPaused:
     case Event::kBatchAppendFailed:
+    case Event::kBatchDataReadFailed:
     case Event::kPeerReportRejected:
     case Event::kGroupJoinFailed:
       return Severity::kWarning;
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -84,6 +84,7 @@
   kBatchAppendFailed = 724,
   kBatchRecordRejected = 725,
   kJobReadRefused = 726,
+  kBatchDataReadFailed = 727,
   kPeerChanged = 730,
   kPeerReportRejected = 731,
   kSettingsReloaded = 732,
--- a/Libraries/LibMessages/records.h
+++ b/Libraries/LibMessages/records.h
@@ -45,6 +45,8 @@
   kBatchJobEnded = 62,
   kBatchItemFailed = 63,
   kBatchItemProgress = 64,
+  kBatchJobStored = 65,
+  kBatchItemResult = 66,
 };
 
 /// True if this version defines the type.
@@ -75,6 +77,8 @@
     case RecordType::kBatchJobEnded:
     case RecordType::kBatchItemFailed:
     case RecordType::kBatchItemProgress:
+    case RecordType::kBatchJobStored:
+    case RecordType::kBatchItemResult:
       return true;
   }
   return false;
@@ -723,6 +727,59 @@
   }
 };
 
+/// Where the bytes of a body or a text are stored, as consecutive records of a
+/// partition.
+struct DataPlace {
+  std::uint32_t partition{0};
+  /// Offset of the first record.
+  std::uint64_t offset{0};
+  /// Number of records; 0 if there are no bytes.
+  std::uint32_t parts{0};
+  std::uint64_t bytes{0};
+
+  bool operator==(const DataPlace&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(partition, offset, parts, bytes);
+  }
+};
+
+/// A batch job whose bodies are stored in another topic. It is accepted by this
+/// record, which follows the bodies.
+struct BatchJobStored {
+  static constexpr RecordType kType = RecordType::kBatchJobStored;
+
+  BatchJobAccepted accepted{};
+  /// The bodies of the items, in their order.
+  std::vector<DataPlace> bodies{};
+
+  bool operator==(const BatchJobStored&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(accepted, bodies);
+  }
+};
+
+/// The final state of an item whose text is stored in another topic. The first
+/// final state of an item counts.
+struct BatchItemResult {
+  static constexpr RecordType kType = RecordType::kBatchItemResult;
+
+  BatchItemFinished finished{};
+  /// Part of the keys of the text's records.
+  std::string writer{};
+  DataPlace text{};
+
+  bool operator==(const BatchItemResult&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(finished, writer, text);
+  }
+};
+
 }  // namespace crocus::records
 
 #endif  // LIBMESSAGES_RECORDS_H_
--- a/Libraries/LibServing/batch_job_table.cc
+++ b/Libraries/LibServing/batch_job_table.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "LibCore/hashing.h"
 #include "LibCore/text.h"
 #include "LibMessages/codec.h"
 
@@ -16,6 +17,8 @@
 constexpr std::string_view kFailedKind = "fail";
 constexpr std::string_view kProgressKind = "part";
 constexpr std::string_view kEndedKind = "end";
+constexpr std::string_view kStoredJobKind = "stored";
+constexpr std::string_view kResultKind = "result";
 
 std::string MakeKey(std::string_view kind,
                     const std::string& job,
@@ -29,12 +32,41 @@
   return MakeKey(kJobKind, job, tag);
 }
 
+std::string StoredJobKey(const std::string& job, const std::string& tag) {
+  return MakeKey(kStoredJobKind, job, tag);
+}
+
+std::string ResultKey(const std::string& job,
+                      std::size_t item,
+                      const std::string& tag) {
+  return MakeKey(kResultKind, job, std::to_string(item) + "/" + tag);
+}
+
+std::string BodyKeyPrefix(const std::string& job,
+                          const std::string& tag,
+                          std::size_t item) {
+  return MakeKey(kBodyKind, job, tag + "/" + std::to_string(item) + "/");
+}
+
+std::string TextKeyPrefix(const std::string& job,
+                          std::size_t item,
+                          const std::string& writer) {
+  return MakeKey(kTextKind, job, std::to_string(item) + "/" + writer + "/");
+}
+
+std::string StoredProgressKey(const std::string& job, std::size_t item) {
+  return MakeKey(kProgressKind, job, std::to_string(item));
+}
+
+std::uint32_t PartitionOfJob(const std::string& job, std::uint32_t count) {
+  return static_cast<std::uint32_t>(HashBytes(job) % count);
+}
+
 std::string BodyKey(const std::string& job,
                     const std::string& tag,
                     std::size_t item,
                     std::size_t part) {
-  return MakeKey(kBodyKind, job,
-                 tag + "/" + std::to_string(item) + "/" + std::to_string(part));
+  return BodyKeyPrefix(job, tag, item) + std::to_string(part);
 }
 
 std::string FinishedKey(const std::string& job,
@@ -47,8 +79,7 @@
                     std::size_t item,
                     const std::string& tag,
                     std::size_t part) {
-  return MakeKey(kTextKind, job,
-                 std::to_string(item) + "/" + tag + "/" + std::to_string(part));
+  return TextKeyPrefix(job, item, tag) + std::to_string(part);
 }
 
 std::string FailedKey(const std::string& job,
@@ -99,8 +130,14 @@
   if (parts[0] == kFinishedKind) {
     return this->FinishItem(record);
   }
+  if (parts[0] == kStoredJobKind) {
+    return this->AcceptStoredJob(record);
+  }
+  if (parts[0] == kResultKind) {
+    return this->FinishStoredItem(record);
+  }
   if (parts[0] == kProgressKind) {
-    return this->UpdateProgress(record);
+    return this->ApplyProgress(*record.value);
   }
   if (parts[0] == kFailedKind) {
     return this->RecordFailure(record);
@@ -126,9 +163,22 @@
   return joined;
 }
 
+void BatchJobTable::AddJob(BatchJobEntry job) {
+  std::string id = job.record.job;
+  this->entries.try_emplace(std::move(id), std::move(job));
+}
+
+Result<BatchItemEntry*> BatchJobTable::FindItem(const std::string& job,
+                                                std::uint32_t item) {
+  const auto found = this->entries.find(job);
+  if (found == this->entries.end() || item >= found->second.items.size()) {
+    return Failure(ErrorCode::kCorrupt, "record of an unknown job or item");
+  }
+  return &found->second.items[item];
+}
+
 Result<void> BatchJobTable::AcceptJob(const KeyedRecord& record) {
   TRY_ASSIGN(auto accepted, Decode<records::BatchJobAccepted>(*record.value));
-  const bool is_new_job = !this->entries.contains(accepted.job);
   // The bodies are joined even if the job was accepted before, so that their
   // parts are removed.
   BatchJobEntry job;
@@ -139,56 +189,77 @@
     }));
     job.items.push_back(std::move(item));
   }
-  if (is_new_job) {
-    std::string id = accepted.job;
-    job.record = std::move(accepted);
-    this->entries.emplace(std::move(id), std::move(job));
-  }
+  accepted.items.clear();
+  job.record = std::move(accepted);
+  this->AddJob(std::move(job));
   return {};
 }
 
-Result<void> BatchJobTable::FinishItem(const KeyedRecord& record) {
-  TRY_ASSIGN(auto finished, Decode<records::BatchItemFinished>(*record.value));
-  const auto found = this->entries.find(finished.job);
-  if (found == this->entries.end() ||
-      finished.item >= found->second.items.size()) {
-    return Failure(ErrorCode::kCorrupt, "result of an unknown job or item");
+Result<void> BatchJobTable::AcceptStoredJob(const KeyedRecord& record) {
+  TRY_ASSIGN(auto stored, Decode<records::BatchJobStored>(*record.value));
+  if (stored.bodies.size() != stored.accepted.items.size()) {
+    return Failure(ErrorCode::kCorrupt, "a job without a body of each item");
   }
-  // The text is joined even if the item is finished already, so that its parts
-  // are removed.
-  auto text = this->JoinParts(finished.text_parts, [&](auto part) {
-    return TextKey(finished.job, finished.item, finished.tag, part);
-  });
-  if (!text) {
-    return tl::unexpected(std::move(text).error());
+  BatchJobEntry job;
+  for (std::size_t i = 0; i < stored.bodies.size(); ++i) {
+    job.items.push_back({.spec = std::move(stored.accepted.items[i]),
+                         .stored_body = stored.bodies[i]});
   }
-  BatchItemEntry& item = found->second.items[finished.item];
+  stored.accepted.items.clear();
+  job.record = std::move(stored.accepted);
+  this->AddJob(std::move(job));
+  return {};
+}
+
+bool BatchJobTable::MarkFinished(const records::BatchItemFinished& finished) {
+  BatchJobEntry& job = this->entries.at(finished.job);
+  BatchItemEntry& item = job.items[finished.item];
   if (item.state != ItemState::kOpen) {
-    return {};
+    return false;
   }
   item.state =
       finished.completed ? ItemState::kCompleted : ItemState::kAbandoned;
-  item.text = std::move(finished.text);
-  if (finished.text_parts > 0) {
-    item.text = std::move(*text);
-  }
   item.body = std::string();
+  item.spec.fields = {};
   item.progress = {};
-  found->second.finished_items.push_back(finished.item);
+  job.finished_items.push_back(finished.item);
+  return true;
+}
+
+Result<void> BatchJobTable::FinishItem(const KeyedRecord& record) {
+  TRY_ASSIGN(auto finished, Decode<records::BatchItemFinished>(*record.value));
+  TRY_ASSIGN(BatchItemEntry * item,
+             this->FindItem(finished.job, finished.item));
+  // The text is joined even if the item is finished already, so that its parts
+  // are removed.
+  TRY_ASSIGN(auto text, this->JoinParts(finished.text_parts, [&](auto part) {
+    return TextKey(finished.job, finished.item, finished.tag, part);
+  }));
+  if (this->MarkFinished(finished)) {
+    item->text = finished.text_parts > 0 ? std::move(text)
+                                         : std::move(finished.text);
+  }
   return {};
 }
 
-Result<void> BatchJobTable::UpdateProgress(const KeyedRecord& record) {
-  TRY_ASSIGN(auto progress, Decode<records::BatchItemProgress>(*record.value));
-  const auto found = this->entries.find(progress.job);
-  if (found == this->entries.end() ||
-      progress.item >= found->second.items.size()) {
-    return Failure(ErrorCode::kCorrupt, "progress of an unknown job or item");
+Result<void> BatchJobTable::FinishStoredItem(const KeyedRecord& record) {
+  TRY_ASSIGN(auto result, Decode<records::BatchItemResult>(*record.value));
+  TRY_ASSIGN(BatchItemEntry * item,
+             this->FindItem(result.finished.job, result.finished.item));
+  if (this->MarkFinished(result.finished)) {
+    item->stored_text = result.text;
+    item->text_writer = std::move(result.writer);
   }
-  BatchItemEntry& item = found->second.items[progress.item];
-  if (item.state == ItemState::kOpen &&
-      progress.events > item.progress.events) {
-    item.progress = std::move(progress);
+  return {};
+}
+
+Result<void> BatchJobTable::ApplyProgress(std::string_view content) {
+  TRY_ASSIGN(auto progress, Decode<records::BatchItemProgress>(content));
+  TRY_ASSIGN(BatchItemEntry * item,
+             this->FindItem(progress.job, progress.item));
+  if (item->state == ItemState::kOpen &&
+      progress.events > item->progress.events) {
+    item->progress = std::move(progress);
   }
   return {};
 }
@@ -196,12 +267,8 @@
 Result<void> BatchJobTable::RecordFailure(const KeyedRecord& record) {
   TRY_ASSIGN(const auto failed,
              Decode<records::BatchItemFailed>(*record.value));
-  const auto found = this->entries.find(failed.job);
-  if (found == this->entries.end() ||
-      failed.item >= found->second.items.size()) {
-    return Failure(ErrorCode::kCorrupt, "failure of an unknown job or item");
-  }
-  found->second.items[failed.item].failures.insert(record.key);
+  TRY_ASSIGN(BatchItemEntry * item, this->FindItem(failed.job, failed.item));
+  item->failures.insert(record.key);
   return {};
 }
 
--- a/Libraries/LibServing/batch_job_table.h
+++ b/Libraries/LibServing/batch_job_table.h
@@ -19,10 +19,17 @@
 /// An item of a batch job and its state.
 struct BatchItemEntry {
   records::BatchItemSpec spec;
-  /// Kept while the item is open.
+  /// Kept while the item is open. Only jobs of an earlier version have their
+  /// bodies here; others have `stored_body`.
   std::string body;
+  records::DataPlace stored_body;
   ItemState state = ItemState::kOpen;
+  /// Only results of an earlier version have their texts here; others have
+  /// `stored_text`.
   std::string text;
+  records::DataPlace stored_text;
+  /// Part of the keys of the records of `stored_text`.
+  std::string text_writer;
   /// Keys of the records of failed runs.
   std::set<std::string> failures;
   /// The progress record with the most events; kept while the item is open.
@@ -43,7 +50,10 @@
 
 /// The batch jobs, replayed from the store's records. All hosts that apply the
 /// same records in the order of their offsets have the same jobs, results and
-/// positions. Not thread-safe.
+/// positions. Bodies and texts are not part of it: they are stored in partitions
+/// of their own and read on need, so that the state of a host does not grow with
+/// all work of the fleet. Records of earlier versions, which contain bodies,
+/// texts and progress, are applied too. Not thread-safe.
 class BatchJobTable {
  public:
   /// Applies a record. Records must be applied in the order of their offsets.
@@ -51,6 +61,10 @@
   /// or item, or if a part is missing.
   Result<void> Apply(const KeyedRecord& record);
 
+  /// Applies the content of a progress record that is stored apart from the
+  /// jobs. Fails as Apply does.
+  Result<void> ApplyProgress(std::string_view content);
+
   const BatchJobEntry* Find(const std::string& job) const;
   const std::map<std::string, BatchJobEntry>& jobs() const {
     return this->entries;
@@ -68,8 +82,14 @@
   template <typename KeyOf>
   Result<std::string> JoinParts(std::size_t count, KeyOf key_of);
   Result<void> AcceptJob(const KeyedRecord& record);
+  Result<void> AcceptStoredJob(const KeyedRecord& record);
   Result<void> FinishItem(const KeyedRecord& record);
-  Result<void> UpdateProgress(const KeyedRecord& record);
+  Result<void> FinishStoredItem(const KeyedRecord& record);
+  void AddJob(BatchJobEntry job);
+  /// The item that a record refers to, or an error.
+  Result<BatchItemEntry*> FindItem(const std::string& job, std::uint32_t item);
+  /// Notes the item's final state. False if it had one before.
+  bool MarkFinished(const records::BatchItemFinished& finished);
   Result<void> RecordFailure(const KeyedRecord& record);
   Result<void> EndJob(const KeyedRecord& record);
 
@@ -80,6 +100,23 @@
   std::map<std::string, std::set<std::string>> keys_by_job;
 };
 
+/// Keys of the records of the versions that store bodies, texts and progress
+/// apart. A key of a part is the prefix and the number of the part.
+std::string StoredJobKey(const std::string& job, const std::string& tag);
+std::string ResultKey(const std::string& job,
+                      std::size_t item,
+                      const std::string& tag);
+std::string BodyKeyPrefix(const std::string& job,
+                          const std::string& tag,
+                          std::size_t item);
+std::string TextKeyPrefix(const std::string& job,
+                          std::size_t item,
+                          const std::string& writer);
+std::string StoredProgressKey(const std::string& job, std::size_t item);
+
+/// The partition, out of `count`, to which the job's work and data belong.
+std::uint32_t PartitionOfJob(const std::string& job, std::uint32_t count);
+
 /// Keys of the records. `tag` is unique for each attempt to append, so that a
 /// record that is sent again after a lost reply does not replace the first one
 /// and change its offset.
--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "LibCore/hashing.h"
 #include "LibServing/hash_point.h"
 
 namespace crocus {
@@ -40,7 +39,7 @@
 
 bool BatchQueue::OwnsJob(const std::string& job) const {
   return this->own_partitions.contains(
-      static_cast<std::uint32_t>(HashBytes(job) % this->partition_count));
+      PartitionOfJob(job, this->partition_count));
 }
 
 std::int64_t BatchQueue::DueTime(const Route& route, const BatchJobEntry& job) {
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -30,6 +30,8 @@
   std::set<std::string> avoided;
   /// The next run must not start before this time.
   TimePoint not_before{};
+  /// The body of the item, once it has been read from the store.
+  std::optional<std::string> body;
   TimePoint first_started{};
   /// Total duration of the runs of the item that have ended.
   Duration run_time{};
--- a/Libraries/LibServing/keyed_record.h
+++ b/Libraries/LibServing/keyed_record.h
@@ -1,6 +1,7 @@
 #ifndef LIBSERVING_KEYED_RECORD_H_
 #define LIBSERVING_KEYED_RECORD_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,14 @@
   bool operator==(const KeyedRecord&) const = default;
 };
 
+/// A partition of a topic of the store.
+struct TopicPartition {
+  std::string topic;
+  std::uint32_t partition = 0;
+
+  auto operator<=>(const TopicPartition&) const = default;
+};
+
 struct AppendReply {
   /// Offset of the first record.
   std::uint64_t offset = 0;
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -32,6 +32,11 @@
 constexpr Duration kStoppedBackoff = std::chrono::milliseconds(300);
 /// Time before an item whose run has failed may run again.
 constexpr Duration kFailedBackoff = std::chrono::milliseconds(300);
+/// Time before the body of an item is read again after a failed read.
+constexpr Duration kBodyReadBackoff = std::chrono::milliseconds(300);
+/// Reads of bodies in progress at once. More would delay other calls to the
+/// store behind them.
+constexpr std::uint32_t kMaximumBodyReads = 8;
 
 }  // namespace
 
@@ -39,12 +44,14 @@
                          const BatchJobTable& job_table,
                          const PeerItems& peer_items,
                          BatchWriter& writer,
+                         BatchDataReader& data_reader,
                          ConfigSource config,
                          std::function<bool()> may_start)
     : context(context),
       job_table(job_table),
       peer_items(peer_items),
       writer(writer),
+      data_reader(data_reader),
       config(std::move(config)),
       may_start(std::move(may_start)),
       timer(context.loop) {}
@@ -170,6 +177,12 @@
   while (const auto next = this->queue.Next(this->job_table, *routing_config,
                                             this->peer_items, now, unix_now)) {
     const ItemReference& item = next->item;
+    if (!this->HasBody(item)) {
+      if (!this->LoadBody(item)) {
+        break;
+      }
+      continue;
+    }
     const BatchJobEntry* job = this->job_table.Find(item.job);
     const Route* route = RouteOfJob(*routing_config, job->record);
     const std::string endpoint = EndpointOfJob(*route, item.job);
@@ -211,6 +224,48 @@
   }
 }
 
+bool BatchRunner::HasBody(const ItemReference& item) {
+  const BatchItemEntry& entry =
+      this->job_table.Find(item.job)->items[item.item];
+  return entry.stored_body.parts == 0 ||
+         this->queue.Progress(item).body.has_value();
+}
+
+bool BatchRunner::LoadBody(const ItemReference& item) {
+  if (this->body_reads >= kMaximumBodyReads) {
+    return false;
+  }
+  const BatchJobEntry* job = this->job_table.Find(item.job);
+  ++this->body_reads;
+  // The callback, which the store client calls in any case, sets a new time.
+  this->queue.Progress(item).not_before = TimePoint::max();
+  this->data_reader.Read(
+      job->items[item.item].stored_body,
+      BodyKeyPrefix(item.job, job->record.tag, item.item),
+      [this, item](auto body) {
+        --this->body_reads;
+        const BatchJobEntry* current = this->job_table.Find(item.job);
+        if (current == nullptr ||
+            current->items[item.item].state != ItemState::kOpen ||
+            this->queue.IsFinished(item)) {
+          return;
+        }
+        auto& progress = this->queue.Progress(item);
+        if (body) {
+          progress.not_before = {};
+          progress.body = std::move(*body);
+          return;
+        }
+        progress.not_before = BootTimeNow() + kBodyReadBackoff;
+        LogEvent(Event::kBatchDataReadFailed,
+                 {{"request", current->items[item.item].spec.id},
+                  {"job", item.job},
+                  {"data", "body"},
+                  {"reason", body.error().message}});
+      });
+  return true;
+}
+
 void BatchRunner::StartItem(const ItemReference& item,
                             const Route& route,
                             const PlacementChoice& choice) {
@@ -240,7 +295,7 @@
           .attempt_id = spec.spec.id,
           .work = WorkClass::kBatch,
           .head = std::move(head),
-          .body = spec.body,
+          .body = progress.body.value_or(spec.body),
           .on_head =
               [this, item](const auto& response,
                            const auto& response_metadata) {
@@ -394,10 +449,19 @@
        {"failures",
         std::to_string(this->queue.FailureCount(this->job_table, item))},
        {"total_ms", MillisecondsText(BootTimeNow() - progress.first_started)}});
+  const BatchJobEntry* job = this->job_table.Find(item.job);
+  std::vector<std::string> obsolete_body;
+  const std::string prefix =
+      BodyKeyPrefix(item.job, job->record.tag, item.item);
+  for (std::uint32_t part = 0; part < job->items[item.item].stored_body.parts;
+       ++part) {
+    obsolete_body.push_back(prefix + std::to_string(part));
+  }
   this->writer.AppendFinished({.job = item.job,
                                .item = item.item,
                                .completed = is_completed,
-                               .text = is_completed ? progress.text : ""});
+                               .text = is_completed ? progress.text : ""},
+                              std::move(obsolete_body));
   this->queue.SetFinished(item);
 }
 
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "Gateway/batch_data_reader.h"
 #include "Gateway/batch_writer.h"
 #include "Gateway/forwarding_context.h"
 #include "Gateway/replica_attempt.h"
@@ -29,6 +30,7 @@
               const BatchJobTable& job_table,
               const PeerItems& peer_items,
               BatchWriter& writer,
+              BatchDataReader& data_reader,
               ConfigSource config,
               std::function<bool()> may_start);
 
@@ -91,6 +93,11 @@
   void StopRun(const ItemReference& item, const std::string& reason);
   void FinishItem(const ItemReference& item, bool is_completed);
   void AbandonExpiredItems();
+  /// True if the item's body is at hand.
+  bool HasBody(const ItemReference& item);
+  /// Reads the item's body from the store. Until it is at hand, the item does
+  /// not start. False if too many reads are in progress.
+  bool LoadBody(const ItemReference& item);
   /// Loads the recorded progress of the item if it is further than this host's.
   void LoadRecordedProgress(const ItemReference& item);
   /// Records the progress of each run whose last record is older than the
@@ -102,6 +109,7 @@
   const BatchJobTable& job_table;
   const PeerItems& peer_items;
   BatchWriter& writer;
+  BatchDataReader& data_reader;
   const ConfigSource config;
   /// True if the job table is current enough to start items from it.
   const std::function<bool()> may_start;
@@ -109,6 +117,8 @@
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
   std::int64_t waiting_due_ms = 0;
+  /// Reads of bodies that are in progress.
+  std::uint32_t body_reads = 0;
   bool is_stopping = false;
 };
 
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -13,8 +13,13 @@
 
 namespace {
 
-/// Topic of the system's persistent state: jobs, results and peer addresses.
+/// Topic of the system's persistent state: jobs, final states of items and peer
+/// addresses. All hosts read it.
 const std::string kStateTopic = "keyed.crocus";
+/// Topics of bodies and texts, and of the progress of items. A host reads their
+/// records on need.
+const std::string kDataTopic = "keyed.crocus.data";
+const std::string kProgressTopic = "keyed.crocus.progress";
 /// Topic without records. The store assigns its partitions to hosts, and each
 /// partition represents a part of the batch jobs.
 const std::string kAssignmentTopic = "crocus.work";
@@ -33,6 +38,13 @@
 /// Time after which a caller should repeat a submission or call that was
 /// refused.
 constexpr Duration kRefusalRetryAfter = std::chrono::milliseconds(700);
+/// Time for which the recorded progress of a new partition is tried to read.
+/// Then its items run without: their earlier work is repeated.
+constexpr Duration kProgressReadTime = std::chrono::milliseconds(2000);
+constexpr Duration kProgressPageTimeout = std::chrono::milliseconds(1000);
+constexpr Duration kProgressRetryDelay = std::chrono::milliseconds(200);
+/// Results in one response at most.
+constexpr std::size_t kMaximumResults = 24;
 /// Records of a job are kept for this long after the retention of its results,
 /// since the clocks of hosts differ.
 constexpr Duration kExpiryMargin = std::chrono::seconds(30);
@@ -52,19 +64,25 @@
                            const PeerItems& peer_items,
                            ConfigSource config,
                            BatchServiceOptions options)
-    : store(store),
+    : loop(context.loop),
+      store(store),
       config(config),
       options(std::move(options)),
       writer(context.loop,
              store,
              {.topic = kStateTopic,
+              .data_topic = kDataTopic,
+              .progress_topic = kProgressTopic,
+              .partitions = this->options.partitions,
               .record_bytes = this->options.record_bytes,
               .call_bytes = this->options.call_bytes,
               .writer = MakeIdentifier("w").substr(0, 14)}),
+      data_reader(context.loop, store, {.topic = kDataTopic}),
       batch_runner(context,
                    this->job_table,
                    peer_items,
                    this->writer,
+                   this->data_reader,
                    config,
                    [this] { return this->may_start_items(); }),
       follower(
@@ -136,7 +154,7 @@
     return;
   }
   this->store.Append(
-      kStateTopic,
+      {.topic = kStateTopic},
       {{.key = std::string(kPeerPrefix) + this->options.peer_address,
         .value = value}},
       [](auto reply) {
@@ -325,9 +343,33 @@
     session->Respond(http_status::kNotFound, {}, "");
     return;
   }
-  session->Respond(http_status::kOk,
-                   HeaderFields::WithContentType("application/octet-stream"),
-                   found->body);
+  const auto respond = [session](const std::string& body) {
+    session->Respond(http_status::kOk,
+                     HeaderFields::WithContentType("application/octet-stream"),
+                     body);
+  };
+  if (found->stored_body.parts == 0) {
+    respond(found->body);
+    return;
+  }
+  this->data_reader.Read(
+      found->stored_body,
+      BodyKeyPrefix(call.job, job.record.tag,
+                    static_cast<std::size_t>(found - job.items.begin())),
+      [this, session, call, respond](auto body) {
+        if (body) {
+          respond(*body);
+          return;
+        }
+        // The body of an item that has just been finished is deleted. A later
+        // call finds the item's final state.
+        LogEvent(Event::kBatchDataReadFailed,
+                 {{"request", call.item},
+                  {"job", call.job},
+                  {"data", "body"},
+                  {"reason", body.error().message}});
+        this->RespondUnavailable(session, call);
+      });
 }
 
 void BatchService::RespondToRead(const std::shared_ptr<ServerSession>& session,
@@ -351,9 +393,88 @@
     this->RespondUnavailable(session, call);
     return;
   }
-  session->Respond(http_status::kOk,
-                   HeaderFields::WithContentType("application/json"),
-                   platform::EncodeResults(job, call.first_position));
+  this->RespondWithResults(session, call, job);
+}
+
+void BatchService::RespondWithResults(
+    const std::shared_ptr<ServerSession>& session,
+    const platform::BatchCall& call,
+    const BatchJobEntry& job) {
+  struct PendingPage {
+    platform::BatchResultPage page;
+    /// Results without their text so far.
+    std::set<std::size_t> missing;
+    std::size_t reads = 0;
+  };
+  const auto pending = std::make_shared<PendingPage>();
+  pending->page = {.total = job.items.size(),
+                   .first_position = call.first_position};
+  struct TextRead {
+    std::size_t result = 0;
+    records::DataPlace place;
+    std::string key_prefix;
+  };
+  std::vector<TextRead> reads;
+  std::uint64_t bytes = 0;
+  for (std::uint64_t position = call.first_position;
+       position < job.finished_items.size() &&
+       pending->page.results.size() < kMaximumResults;
+       ++position) {
+    const std::uint32_t index = job.finished_items[position];
+    const BatchItemEntry& item = job.items[index];
+    bytes += item.text.size() + item.stored_text.bytes;
+    if (bytes > platform::kResultPageBytes && !pending->page.results.empty()) {
+      break;
+    }
+    if (item.stored_text.parts > 0) {
+      reads.push_back(
+          {.result = pending->page.results.size(),
+           .place = item.stored_text,
+           .key_prefix = TextKeyPrefix(call.job, index, item.text_writer)});
+    }
+    pending->page.results.push_back(
+        {.id = item.spec.id,
+         .is_completed = item.state == ItemState::kCompleted,
+         .text = item.text});
+  }
+  const auto finish = [this, session, call, pending] {
+    // Results before the first missing text are returned. The caller reads on
+    // from there.
+    if (!pending->missing.empty()) {
+      pending->page.results.resize(*pending->missing.begin());
+      if (pending->page.results.empty()) {
+        this->RespondUnavailable(session, call);
+        return;
+      }
+    }
+    session->Respond(http_status::kOk,
+                     HeaderFields::WithContentType("application/json"),
+                     platform::EncodeResults(pending->page));
+  };
+  if (reads.empty()) {
+    finish();
+    return;
+  }
+  pending->reads = reads.size();
+  for (const auto& read : reads) {
+    this->data_reader.Read(
+        read.place, read.key_prefix,
+        [pending, finish, result = read.result, job_id = call.job](auto text) {
+          if (text) {
+            pending->page.results[result].text = std::move(*text);
+          } else {
+            pending->missing.insert(result);
+            LogEvent(Event::kBatchDataReadFailed,
+                     {{"request", pending->page.results[result].id},
+                      {"job", job_id},
+                      {"data", "text"},
+                      {"reason", text.error().message}});
+          }
+          if (--pending->reads == 0) {
+            finish();
+          }
+        });
+  }
 }
 
 void BatchService::RespondToPendingReads(const std::string& job) {
@@ -476,14 +597,85 @@
                {{"generation", std::to_string(assignment->generation)},
                 {"partitions", text}});
       this->membership.generation = assignment->generation;
-      this->batch_runner.SetPartitions(std::move(partitions),
-                                       this->options.partitions);
+      this->TakePartitions(partitions);
     }
     this->DeleteExpiredJobs();
     this->ScheduleJoin();
   });
 }
 
+void BatchService::TakePartitions(const std::set<std::uint32_t>& assigned) {
+  this->assigned_partitions = assigned;
+  std::erase_if(this->loaded_partitions, [&assigned](std::uint32_t partition) {
+    return !assigned.contains(partition);
+  });
+  this->batch_runner.SetPartitions(this->loaded_partitions,
+                                   this->options.partitions);
+  for (const std::uint32_t partition : assigned) {
+    if (!this->loaded_partitions.contains(partition)) {
+      this->LoadProgress(partition, "", BootTimeNow() + kProgressReadTime);
+    }
+  }
+}
+
+void BatchService::LoadProgress(std::uint32_t partition,
+                                const std::string& after_key,
+                                TimePoint give_up_at) {
+  this->store.ReadNewest(
+      {.topic = kProgressTopic, .partition = partition}, after_key,
+      kProgressPageTimeout,
+      [this, partition, after_key, give_up_at](auto page) {
+        if (this->is_stopped ||
+            !this->assigned_partitions.contains(partition)) {
+          return;
+        }
+        if (!page) {
+          LogEvent(Event::kBatchDataReadFailed,
+                   {{"data", "progress of partition " +
+                                 std::to_string(partition)},
+                    {"reason", page.error().message}});
+        }
+        // Progress is of use only for jobs that this host knows.
+        if (!page || !this->follower.has_snapshot()) {
+          if (page || BootTimeNow() < give_up_at) {
+            const auto wait = std::make_shared<boost::asio::steady_timer>(
+                this->loop, kProgressRetryDelay);
+            wait->async_wait([this, partition, after_key, give_up_at,
+                              wait](const auto& error) {
+              if (!error && !this->is_stopped) {
+                this->LoadProgress(partition, after_key, give_up_at);
+              }
+            });
+            return;
+          }
+          this->OnProgressLoaded(partition);
+          return;
+        }
+        for (const auto& record : page->records) {
+          if (const auto applied =
+                  this->job_table.ApplyProgress(*record.value);
+              !applied) {
+            LogEvent(Event::kBatchRecordRejected,
+                     {{"key", record.key},
+                      {"offset", std::to_string(record.offset)},
+                      {"reason", applied.error().message}});
+          }
+        }
+        if (page->has_more && !page->records.empty()) {
+          this->LoadProgress(partition, page->records.back().key, give_up_at);
+          return;
+        }
+        this->OnProgressLoaded(partition);
+      });
+}
+
+void BatchService::OnProgressLoaded(std::uint32_t partition) {
+  if (this->loaded_partitions.insert(partition).second) {
+    this->batch_runner.SetPartitions(this->loaded_partitions,
+                                     this->options.partitions);
+  }
+}
+
 void BatchService::ScheduleJoin() {
   // Two calls in succession may fail before the store removes this member.
   this->join_timer.expires_after(this->options.member_lifetime / 3);
@@ -503,6 +695,19 @@
         !job.is_ended && job.finished_items.size() < job.items.size();
     if (job.record.submitted_ms < oldest && !is_open &&
         this->batch_runner.OwnsJob(id)) {
+      std::vector<std::string> data_keys;
+      for (std::size_t i = 0; i < job.items.size(); ++i) {
+        const BatchItemEntry& item = job.items[i];
+        const auto add = [&data_keys](const std::string& prefix,
+                                      std::uint32_t parts) {
+          for (std::uint32_t part = 0; part < parts; ++part) {
+            data_keys.push_back(prefix + std::to_string(part));
+          }
+        };
+        add(BodyKeyPrefix(id, job.record.tag, i), item.stored_body.parts);
+        add(TextKeyPrefix(id, i, item.text_writer), item.stored_text.parts);
+      }
+      this->writer.DeleteData(id, data_keys);
       this->writer.DeleteKeys(this->job_table.KeysOf(id));
       // Deletes at most one job after each join.
       return;
--- a/Services/Gateway/batch_service.h
+++ b/Services/Gateway/batch_service.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "Gateway/batch_data_reader.h"
 #include "Gateway/batch_runner.h"
 #include "Gateway/batch_writer.h"
 #include "Gateway/keyed_follower.h"
@@ -90,6 +91,11 @@
   void RespondToRead(const std::shared_ptr<ServerSession>& session,
                      const platform::BatchCall& call,
                      const BatchJobEntry& job);
+  /// Responds with the results from the call's position on. Their texts are
+  /// read from the store unless they are at hand.
+  void RespondWithResults(const std::shared_ptr<ServerSession>& session,
+                          const platform::BatchCall& call,
+                          const BatchJobEntry& job);
   void RespondWithBody(const std::shared_ptr<ServerSession>& session,
                        const platform::BatchCall& call,
                        const BatchJobEntry& job);
@@ -113,17 +119,30 @@
   void JoinGroup();
   void ScheduleJoin();
   void DeleteExpiredJobs();
+  /// Takes over the partitions that the store has assigned to this host. Jobs of
+  /// a new one run once its recorded progress has been read.
+  void TakePartitions(const std::set<std::uint32_t>& assigned);
+  void LoadProgress(std::uint32_t partition,
+                    const std::string& after_key,
+                    TimePoint give_up_at);
+  void OnProgressLoaded(std::uint32_t partition);
 
+  boost::asio::io_context& loop;
   platform::StoreClient& store;
   const ConfigSource config;
   const BatchServiceOptions options;
   BatchJobTable job_table;
   BatchWriter writer;
+  BatchDataReader data_reader;
   BatchRunner batch_runner;
   KeyedFollower follower;
   boost::asio::steady_timer join_timer;
   boost::asio::steady_timer pending_read_timer;
   GroupMembership membership;
+  /// Partitions that the store has assigned to this host, and those of them
+  /// whose recorded progress has been read.
+  std::set<std::uint32_t> assigned_partitions;
+  std::set<std::uint32_t> loaded_partitions;
   TimePoint last_join{};
   bool is_join_failing = false;
   /// Tokens of submissions that are being appended, by route.
@@ -132,7 +151,6 @@
   std::set<std::string> submitting_jobs;
   /// By job.
   std::map<std::string, PendingReads> pending_reads;
-  /// Addresses of gateways that the store's records contain.
   /// Values of the records of the hosts' peer addresses, by address.
   std::map<std::string, std::string> announced_peers;
   bool is_stopped = false;
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -23,72 +23,132 @@
 BatchWriter::BatchWriter(boost::asio::io_context& loop,
                          platform::StoreClient& store,
                          BatchWriterOptions options)
-    : store(store), options(std::move(options)), timer(loop) {}
+    : store(store),
+      options(std::move(options)),
+      timer(loop),
+      once_timer(loop) {}
 
 std::string BatchWriter::NextTag() {
   return this->options.writer + "-" + std::to_string(this->next_tag++);
 }
 
+TopicPartition BatchWriter::DataPartition(const std::string& job) const {
+  return {.topic = this->options.data_topic,
+          .partition = PartitionOfJob(job, this->options.partitions)};
+}
+
+std::vector<KeyedWrite> BatchWriter::SplitIntoParts(
+    const std::string& prefix,
+    std::string_view bytes) const {
+  std::vector<KeyedWrite> writes;
+  while (!bytes.empty()) {
+    const std::string_view part = bytes.substr(0, this->MaximumPartBytes());
+    writes.push_back({.key = prefix + std::to_string(writes.size()),
+                      .value = std::string(part)});
+    bytes.remove_prefix(part.size());
+  }
+  return writes;
+}
+
 void BatchWriter::AppendJob(records::BatchJobAccepted job,
                             std::vector<platform::SubmittedItem> items,
                             std::function<void(Result<void>)> on_done) {
   job.tag = this->NextTag();
+  const TopicPartition place = this->DataPartition(job.job);
+  auto stored = std::make_shared<records::BatchJobStored>();
   auto calls = std::make_shared<std::deque<std::vector<KeyedWrite>>>(1);
+  // Items whose bodies begin in each call, with the index of the first record.
+  auto starts = std::make_shared<
+      std::deque<std::vector<std::pair<std::size_t, std::size_t>>>>(1);
   std::uint64_t bytes = 0;
-  const auto add = [&](KeyedWrite write) {
-    const std::uint64_t size = write.value->size() + kRecordOverhead;
-    if (bytes + size > this->options.call_bytes) {
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    auto writes = this->SplitIntoParts(BodyKeyPrefix(job.job, job.tag, i),
+                                       items[i].body);
+    stored->bodies.push_back(
+        {.partition = place.partition,
+         .parts = static_cast<std::uint32_t>(writes.size()),
+         .bytes = items[i].body.size()});
+    // The parts of a body stay together, so that one read returns them.
+    const std::uint64_t size =
+        items[i].body.size() + writes.size() * kRecordOverhead;
+    if (bytes + size > this->options.call_bytes && !calls->back().empty()) {
       calls->emplace_back();
+      starts->emplace_back();
       bytes = 0;
     }
     bytes += size;
-    calls->back().push_back(std::move(write));
-  };
-  for (std::size_t i = 0; i < items.size(); ++i) {
-    std::string_view body = items[i].body;
-    std::uint32_t parts = 0;
-    while (!body.empty()) {
-      const std::string_view part = body.substr(0, this->MaximumPartBytes());
-      add({.key = BodyKey(job.job, job.tag, i, parts++),
-           .value = std::string(part)});
-      body.remove_prefix(part.size());
-    }
-    items[i].spec.body_parts = parts;
+    starts->back().emplace_back(i, calls->back().size());
+    calls->back().insert(calls->back().end(),
+                         std::make_move_iterator(writes.begin()),
+                         std::make_move_iterator(writes.end()));
     job.items.push_back(std::move(items[i].spec));
   }
-  // The job exists once its own record is appended, so that record comes last.
-  add({.key = JobKey(job.job, job.tag), .value = Encode(job)});
-  this->AppendInSequence(std::move(calls), std::move(on_done));
+  stored->accepted = std::move(job);
+  const auto append_job = [this, stored, on_done] {
+    this->store.Append(
+        {.topic = this->options.topic},
+        {{.key = StoredJobKey(stored->accepted.job, stored->accepted.tag),
+          .value = Encode(*stored)}},
+        [on_done](auto reply) {
+          if (reply) {
+            on_done({});
+          } else {
+            on_done(tl::unexpected(reply.error()));
+          }
+        });
+  };
+  if (calls->front().empty()) {
+    append_job();
+    return;
+  }
+  this->AppendInSequence(
+      place, std::move(calls),
+      [stored, starts](std::uint64_t offset) {
+        for (const auto& [item, record] : starts->front()) {
+          stored->bodies[item].offset = offset + record;
+        }
+        starts->pop_front();
+      },
+      [append_job, on_done](auto result) {
+        if (result) {
+          append_job();
+          return;
+        }
+        // The job exists only after its own record, so it is not accepted. The
+        // bodies may be in the store.
+        // FIXME: Bodies of a job that was not accepted are never deleted.
+        Error error = result.error();
+        error.verdict = Verdict::kNotRun;
+        on_done(tl::unexpected(error));
+      });
 }
 
 void BatchWriter::AppendInSequence(
+    TopicPartition place,
     std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
+    std::function<void(std::uint64_t)> on_offset,
     std::function<void(Result<void>)> on_done) {
   const auto records = std::move(calls->front());
   calls->pop_front();
-  const bool is_last = calls->empty();
   this->store.Append(
-      this->options.topic, records,
-      [this, calls = std::move(calls), is_last,
+      place, records,
+      [this, place, calls = std::move(calls), on_offset = std::move(on_offset),
        on_done = std::move(on_done)](auto reply) {
         if (!reply) {
-          Error error = reply.error();
-          // The job exists only after the last append.
-          if (!is_last) {
-            error.verdict = Verdict::kNotRun;
-          }
-          LogEvent(Event::kBatchAppendFailed,
-                   {{"records", "job"},
-                    {"reason", error.message},
-                    {"verdict", std::string(ToString(error.verdict))}});
-          on_done(tl::unexpected(error));
+          LogEvent(
+              Event::kBatchAppendFailed,
+              {{"records", "job"},
+               {"reason", reply.error().message},
+               {"verdict", std::string(ToString(reply.error().verdict))}});
+          on_done(tl::unexpected(reply.error()));
           return;
         }
-        if (is_last) {
+        on_offset(reply->offset);
+        if (calls->empty()) {
           on_done({});
           return;
         }
-        this->AppendInSequence(calls, on_done);
+        this->AppendInSequence(place, calls, on_offset, on_done);
       });
 }
 
@@ -96,7 +156,7 @@
                                std::function<void(Result<void>)> on_done) {
   const records::BatchJobEnded ended{.job = job};
   this->store.Append(
-      this->options.topic,
+      {.topic = this->options.topic},
       {{.key = EndedKey(job, this->NextTag()), .value = Encode(ended)}},
       [on_done = std::move(on_done)](auto reply) {
         if (reply) {
@@ -107,9 +167,13 @@
       });
 }
 
-void BatchWriter::AppendFinished(records::BatchItemFinished item) {
-  this->pending.push_back(
-      {.key = std::nullopt, .value = "", .finished = std::move(item)});
+void BatchWriter::AppendFinished(records::BatchItemFinished item,
+                                 std::vector<std::string> obsolete_body) {
+  this->pending.push_back({.key = std::nullopt,
+                           .value = "",
+                           .finished = std::move(item),
+                           .text = std::nullopt,
+                           .obsolete_body = std::move(obsolete_body)});
   this->ScheduleFlush(kFlushDelay);
 }
 
@@ -117,32 +181,19 @@
   return this->options.record_bytes - kRecordOverhead;
 }
 
-std::vector<KeyedWrite> BatchWriter::EncodeFinishedItem(
-    records::BatchItemFinished finished) {
-  finished.tag = this->NextTag();
-  std::vector<KeyedWrite> writes;
-  if (finished.text.size() > this->MaximumPartBytes()) {
-    std::string_view text = finished.text;
-    while (!text.empty()) {
-      const std::string_view part = text.substr(0, this->MaximumPartBytes());
-      writes.push_back({.key = TextKey(finished.job, finished.item,
-                                       finished.tag, finished.text_parts++),
-                        .value = std::string(part)});
-      text.remove_prefix(part.size());
-    }
-    finished.text.clear();
+std::size_t BatchWriter::unwritten() const {
+  std::size_t count = this->pending.size();
+  for (const auto& [place, writes] : this->queued_once) {
+    count += writes.size();
   }
-  writes.push_back(
-      {.key = FinishedKey(finished.job, finished.item, finished.tag),
-       .value = Encode(finished)});
-  return writes;
+  return count;
 }
 
 std::string BatchWriter::AppendItemFailure(const ItemReference& item) {
   std::string key = FailedKey(item.job, item.item, this->NextTag());
   const records::BatchItemFailed failed{.job = item.job, .item = item.item};
   this->pending.push_back(
-      {.key = key, .value = Encode(failed), .finished = {}});
+      {.key = key, .value = Encode(failed), .finished = {}, .text = {}, .obsolete_body = {}});
   this->ScheduleFlush(kFlushDelay);
   return key;
 }
@@ -153,11 +204,55 @@
     // from its beginning.
     return;
   }
-  this->pending.push_back(
-      {.key = ProgressKey(progress.job, progress.item, this->options.writer),
-       .value = Encode(progress),
-       .finished = {}});
-  this->ScheduleFlush(kFlushDelay);
+  this->QueueOnce(
+      {.topic = this->options.progress_topic,
+       .partition = PartitionOfJob(progress.job, this->options.partitions)},
+      {.key = StoredProgressKey(progress.job, progress.item),
+       .value = Encode(progress)});
+}
+
+void BatchWriter::QueueOnce(TopicPartition place, KeyedWrite write) {
+  this->queued_once[std::move(place)].push_back(std::move(write));
+  if (std::exchange(this->is_once_flush_scheduled, true)) {
+    return;
+  }
+  this->once_timer.expires_after(kFlushDelay);
+  this->once_timer.async_wait([this](const auto& error) {
+    this->is_once_flush_scheduled = false;
+    if (!error) {
+      this->FlushQueuedOnce();
+    }
+  });
+}
+
+void BatchWriter::FlushQueuedOnce() {
+  for (auto& [place, writes] : std::exchange(this->queued_once, {})) {
+    std::vector<KeyedWrite> call;
+    std::uint64_t bytes = 0;
+    const auto append = [this, &place, &call] {
+      this->store.Append(
+          place, std::exchange(call, {}), [place](auto reply) {
+            if (!reply) {
+              LogEvent(Event::kBatchAppendFailed,
+                       {{"records", place.topic},
+                        {"reason", reply.error().message},
+                        {"verdict",
+                         std::string(ToString(reply.error().verdict))}});
+            }
+          });
+    };
+    for (auto& write : writes) {
+      const std::uint64_t size =
+          (write.value ? write.value->size() : 0) + kRecordOverhead;
+      if (!call.empty() && bytes + size > this->options.call_bytes) {
+        append();
+        bytes = 0;
+      }
+      bytes += size;
+      call.push_back(std::move(write));
+    }
+    append();
+  }
 }
 
 void BatchWriter::ScheduleFlush(Duration delay) {
@@ -178,62 +273,144 @@
   if (this->pending.empty()) {
     return;
   }
-  std::vector<KeyedWrite> writes;
   std::uint64_t bytes = 0;
   std::size_t count = 0;
   for (const auto& record : this->pending) {
-    const auto added = record.key
-                           ? std::vector<KeyedWrite>{{.key = *record.key,
-                                                      .value = record.value}}
-                           : this->EncodeFinishedItem(record.finished);
-    std::uint64_t size = 0;
-    for (const auto& write : added) {
-      size += write.value->size() + kRecordOverhead;
-    }
-    if (!writes.empty() && bytes + size > this->options.call_bytes) {
+    const std::uint64_t size =
+        record.value.size() + record.finished.text.size() + kRecordOverhead;
+    if (count > 0 && bytes + size > this->options.call_bytes) {
       break;
     }
     bytes += size;
     ++count;
-    writes.insert(writes.end(), added.begin(), added.end());
   }
   this->is_flushing = true;
-  this->store.Append(this->options.topic, writes, [this, count](auto reply) {
-    this->is_flushing = false;
-    if (!reply) {
-      // If only the response was lost, the next try appends the records a
-      // second time. This does no harm: the first final state of an item
-      // counts, and each copy of it has its own key.
-      LogEvent(Event::kBatchAppendFailed,
-               {{"records", std::to_string(count)},
-                {"reason", reply.error().message},
-                {"verdict", std::string(ToString(reply.error().verdict))}});
-      this->ScheduleFlush(kRetryDelay);
-      return;
+  this->AppendTexts(count);
+}
+
+void BatchWriter::AppendTexts(std::size_t count) {
+  std::optional<TopicPartition> place;
+  std::vector<KeyedWrite> writes;
+  // Index of the first record of each text, by the index of its pending record.
+  std::map<std::size_t, std::size_t> starts;
+  for (std::size_t i = 0; i < count; ++i) {
+    PendingRecord& record = this->pending[i];
+    if (record.text || record.finished.text.empty()) {
+      continue;
     }
-    this->pending.erase(
-        this->pending.begin(),
-        this->pending.begin() + static_cast<std::ptrdiff_t>(count));
-    if (!this->pending.empty()) {
-      this->ScheduleFlush(kFlushDelay);
+    const TopicPartition own = this->DataPartition(record.finished.job);
+    if (!place) {
+      place = own;
+    } else if (*place != own) {
+      continue;
     }
-  });
+    starts[i] = writes.size();
+    const auto parts = this->SplitIntoParts(
+        TextKeyPrefix(record.finished.job, record.finished.item,
+                      this->options.writer),
+        record.finished.text);
+    writes.insert(writes.end(), parts.begin(), parts.end());
+  }
+  if (!place) {
+    this->AppendResults(count);
+    return;
+  }
+  this->store.Append(
+      *place, writes,
+      [this, count, place = *place, starts, end = writes.size()](auto reply) {
+        if (!reply) {
+          this->OnFlushFailed(count, reply.error());
+          return;
+        }
+        std::size_t next = end;
+        for (auto start = starts.rbegin(); start != starts.rend(); ++start) {
+          PendingRecord& record = this->pending[start->first];
+          record.text = records::DataPlace{
+              .partition = place.partition,
+              .offset = reply->offset + start->second,
+              .parts = static_cast<std::uint32_t>(next - start->second),
+              .bytes = record.finished.text.size()};
+          next = start->second;
+        }
+        this->AppendTexts(count);
+      });
 }
 
-void BatchWriter::DeleteKeys(const std::vector<std::string>& keys) {
+void BatchWriter::AppendResults(std::size_t count) {
   std::vector<KeyedWrite> writes;
-  for (const auto& key : keys) {
-    writes.push_back({.key = key, .value = std::nullopt});
+  for (std::size_t i = 0; i < count; ++i) {
+    const PendingRecord& record = this->pending[i];
+    if (record.key) {
+      writes.push_back({.key = *record.key, .value = record.value});
+      continue;
+    }
+    records::BatchItemResult result{
+        .finished = {.job = record.finished.job,
+                     .item = record.finished.item,
+                     .completed = record.finished.completed},
+        .writer = this->options.writer,
+        .text = record.text.value_or(records::DataPlace{})};
+    writes.push_back({.key = ResultKey(record.finished.job,
+                                       record.finished.item, this->NextTag()),
+                      .value = Encode(result)});
   }
   this->store.Append(
-      this->options.topic, writes, [count = keys.size()](auto reply) {
+      {.topic = this->options.topic}, writes, [this, count](auto reply) {
         if (!reply) {
-          LogEvent(Event::kBatchAppendFailed,
-                   {{"records", std::to_string(count)},
-                    {"reason", reply.error().message},
-                    {"verdict", std::string(ToString(reply.error().verdict))}});
+          this->OnFlushFailed(count, reply.error());
+          return;
+        }
+        this->is_flushing = false;
+        for (std::size_t i = 0; i < count; ++i) {
+          this->DeleteObsolete(this->pending.front());
+          this->pending.pop_front();
+        }
+        if (!this->pending.empty()) {
+          this->ScheduleFlush(kFlushDelay);
         }
       });
 }
 
+void BatchWriter::OnFlushFailed(std::size_t count, const Error& error) {
+  // If only the response was lost, the next try appends the records a second
+  // time. This does no harm: the first final state of an item counts, and each
+  // copy of it has its own key.
+  this->is_flushing = false;
+  LogEvent(Event::kBatchAppendFailed,
+           {{"records", std::to_string(count)},
+            {"reason", error.message},
+            {"verdict", std::string(ToString(error.verdict))}});
+  this->ScheduleFlush(kRetryDelay);
+}
+
+void BatchWriter::DeleteObsolete(const PendingRecord& record) {
+  if (record.key) {
+    return;
+  }
+  const std::string& job = record.finished.job;
+  for (const auto& key : record.obsolete_body) {
+    this->QueueOnce(this->DataPartition(job),
+                    {.key = key, .value = std::nullopt});
+  }
+  this->QueueOnce({.topic = this->options.progress_topic,
+                   .partition = PartitionOfJob(job, this->options.partitions)},
+                  {.key = StoredProgressKey(job, record.finished.item),
+                   .value = std::nullopt});
+}
+
+void BatchWriter::DeleteData(const std::string& job,
+                             const std::vector<std::string>& keys) {
+  for (const auto& key : keys) {
+    this->QueueOnce(this->DataPartition(job),
+                    {.key = key, .value = std::nullopt});
+  }
+}
+
+void BatchWriter::DeleteKeys(const std::vector<std::string>& keys) {
+  for (const auto& key : keys) {
+    this->QueueOnce({.topic = this->options.topic},
+                    {.key = key, .value = std::nullopt});
+  }
+}
+
 }  // namespace crocus
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -21,7 +23,12 @@
 namespace crocus {
 
 struct BatchWriterOptions {
+  /// Topic of jobs, final states, failures and ends, which all hosts read.
   std::string topic;
+  /// Topics of bodies and texts, and of progress, by the job's partition.
+  std::string data_topic;
+  std::string progress_topic;
+  std::uint32_t partitions = 1;
   /// The store's limits on the size of a record and of all records of an
   /// append.
   std::uint64_t record_bytes = 262144;
@@ -37,7 +44,7 @@
               platform::StoreClient& store,
               BatchWriterOptions options);
 
-  /// Appends a job with its bodies. An error with the verdict not run means
+  /// Appends the bodies of a job, then the job. An error with the verdict not run means
   /// that the job is not and will not be in the store.
   void AppendJob(records::BatchJobAccepted job,
                  std::vector<platform::SubmittedItem> items,
@@ -47,21 +54,28 @@
   void AppendJobEnd(const std::string& job,
                     std::function<void(Result<void>)> on_done);
 
-  /// Queues the record of an item's final state. Queued records are appended
-  /// together, and the append is retried until it succeeds.
-  void AppendFinished(records::BatchItemFinished finished);
+  /// Queues an item's text and the record of its final state. Queued records
+  /// are appended together, and the append is retried until it succeeds. Then
+  /// the keys of `obsolete_body` are deleted, and the item's progress.
+  void AppendFinished(records::BatchItemFinished finished,
+                      std::vector<std::string> obsolete_body);
 
   /// Queues a record that a run of the item has failed. Returns the record's
   /// key.
   std::string AppendItemFailure(const ItemReference& item);
 
-  /// Queues a record of the progress of an item's runs.
+  /// Queues a record of the progress of an item's runs. It is appended once: if
+  /// it is lost, another host repeats the work since the previous one.
   void AppendProgress(const records::BatchItemProgress& progress);
 
-  /// Deletes keys. A failure is logged and the call is not retried.
+  /// Deletes keys of the topic that all hosts read. A failure is logged and the
+  /// call is not retried.
   void DeleteKeys(const std::vector<std::string>& keys);
+  /// The same for bodies and texts of the job.
+  void DeleteData(const std::string& job, const std::vector<std::string>& keys);
 
-  std::size_t unwritten() const { return this->pending.size(); }
+  /// Number of queued records.
+  std::size_t unwritten() const;
 
  private:
   /// A queued record, which is kept until the store has confirmed its append.
@@ -73,20 +87,37 @@
     /// An item's final state, encoded anew for each try. Used if `key` is not
     /// set.
     records::BatchItemFinished finished;
+    /// Where the text is, once it has been appended.
+    std::optional<records::DataPlace> text;
+    std::vector<std::string> obsolete_body;
   };
 
   std::string NextTag();
   /// Greatest number of bytes of a body or a text in one record.
   std::uint64_t MaximumPartBytes() const;
-  /// Encodes the records of an item's final state. A text that is too long for
-  /// one record is split into several.
-  std::vector<KeyedWrite> EncodeFinishedItem(
-      records::BatchItemFinished finished);
-  /// Appends the records of each call after those of the previous one. Ends
-  /// with the first error.
+  /// Splits `bytes` into records with the keys `prefix` and a number.
+  std::vector<KeyedWrite> SplitIntoParts(const std::string& prefix,
+                                         std::string_view bytes) const;
+  TopicPartition DataPartition(const std::string& job) const;
+  /// Appends the records of each call after those of the previous one, and
+  /// passes the offsets of the first records to `on_offset`. Ends with the
+  /// first error.
   void AppendInSequence(
+      TopicPartition place,
       std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
+      std::function<void(std::uint64_t)> on_offset,
       std::function<void(Result<void>)> on_done);
+  /// Appends the texts of the first `count` pending records that are not in the
+  /// store yet, one partition after the other.
+  void AppendTexts(std::size_t count);
+  /// Appends the first `count` pending records, whose texts are in the store.
+  void AppendResults(std::size_t count);
+  void OnFlushFailed(std::size_t count, const Error& error);
+  /// Deletes what the finished items do not need any more.
+  void DeleteObsolete(const PendingRecord& record);
+  /// Queues a record of the data or the progress topic that is appended once.
+  void QueueOnce(TopicPartition place, KeyedWrite write);
+  void FlushQueuedOnce();
   void Flush();
   void ScheduleFlush(Duration delay);
 
@@ -95,6 +126,9 @@
   boost::asio::steady_timer timer;
   std::uint64_t next_tag = 1;
   std::deque<PendingRecord> pending;
+  std::map<TopicPartition, std::vector<KeyedWrite>> queued_once;
+  boost::asio::steady_timer once_timer;
+  bool is_once_flush_scheduled = false;
   bool is_flushing = false;
   bool is_flush_scheduled = false;
 };
--- a/Services/Gateway/keyed_follower.cc
+++ b/Services/Gateway/keyed_follower.cc
@@ -56,7 +56,7 @@
 }
 
 void KeyedFollower::ReadSnapshot() {
-  this->store.ReadNewest(this->options.topic, this->snapshot_key,
+  this->store.ReadNewest({.topic = this->options.topic}, this->snapshot_key,
                          this->page_timeout, [this](auto page) {
                            if (this->is_stopped) {
                              return;
@@ -119,7 +119,8 @@
   const TimePoint sent = BootTimeNow();
   this->last_read = sent;
   this->store.Read(
-      this->options.topic, *this->next_offset, this->options.wait,
+      {.topic = this->options.topic}, *this->next_offset,
+      {.wait = this->options.wait},
       [this, sent](auto page) {
         if (this->is_stopped) {
           return;
@@ -156,7 +157,7 @@
     return;
   }
   const TimePoint sent = BootTimeNow();
-  this->store.Read(this->options.topic, *this->next_offset, Duration::zero(),
+  this->store.Read({.topic = this->options.topic}, *this->next_offset, {},
                    [this, sent, on_done = std::move(on_done)](auto page) {
                      if (!page || !this->next_offset) {
                        on_done(false);
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "LibCore/time.h"
+#include "LibMessages/codec.h"
+#include "LibServing/batch_job_table.h"
 #include "PlatformStandin/gateway_fleet.h"
 #include "platform/names.h"
 
@@ -58,6 +61,10 @@
   }
 };
 
+TEST_GROUP(GatewayBatch_OldRecords) {
+  GatewayFleet fleet;
+};
+
 // Guards against results that are missing, duplicated or mixed up, and against
 // positions that differ between hosts.
 TEST(GatewayBatch_TwoGateways, ResultsAreCompleteAndTheSameOnAllHosts) {
@@ -113,7 +120,7 @@
     this->fleet.processes.Signal(name, SIGKILL);
     this->fleet.processes.WaitForExit(name, std::chrono::seconds(2));
   }
-  this->fleet.store.Compact("keyed.crocus");
+  this->fleet.store.CompactAll("keyed.crocus");
   this->fleet.StartGateway("c");
   CHECK_TRUE(this->WaitForResults("c", "job3", 6));
   const auto after = this->fleet.ReadResults("c", "job3");
@@ -141,12 +148,27 @@
 // Guards against reporting a submission as refused although its record may be
 // in the store, because only the response to the append was lost.
 TEST(GatewayBatch_TwoGateways, LostResponseToSubmissionIsNotReportedAsRefused) {
-  this->fleet.store.set_faults({.lost_responses = 1});
+  this->fleet.store.set_faults(
+      {.lost_responses = 1, .lossy_topic = "keyed.crocus"});
   CHECK_EQUAL(504U,
               StatusOf(this->fleet.Submit("a", "job5", MakeItemIds("v", 2))));
   this->fleet.store.set_faults({});
 }
 
+// Guards against a job that runs although its submission was refused: the
+// response to the append of its bodies was lost, which precedes the job.
+TEST(GatewayBatch_TwoGateways, JobWhoseBodiesMayBeLostIsRefusedAndNeverRuns) {
+  this->fleet.store.set_faults({.lost_responses = 1});
+  CHECK_EQUAL(503U,
+              StatusOf(this->fleet.Submit("a", "job5", MakeItemIds("v", 2))));
+  this->fleet.store.set_faults({});
+  this->fleet.RunFor(std::chrono::seconds(1));
+  CHECK_TRUE(this->fleet.ReadResults("b", "job5").is_null());
+  for (const auto& replica : this->fleet.replicas) {
+    CHECK_TRUE(replica->runs().empty());
+  }
+}
+
 // Guards against holding a call until its caller's timeout while the store is
 // unavailable, and against a 404 for a job from a host that cannot read the
 // topic to its end.
@@ -214,11 +236,72 @@
               StatusOf(this->fleet.Submit("a", "job11", MakeItemIds("p", 8))));
   for (int i = 0; i < 5; ++i) {
     this->fleet.store.Rebalance();
-    this->fleet.store.Compact("keyed.crocus");
+    this->fleet.store.CompactAll("keyed.crocus");
     this->fleet.RunFor(std::chrono::milliseconds(300));
   }
   CHECK_TRUE(this->WaitForResults("b", "job11", 8));
   this->CheckComplete(this->fleet.ReadResults("b", "job11"), 8);
 }
 
+// Guards against hosts whose traffic and start grow with all batch work of the
+// fleet: after a loss of all 88 hosts of a large fleet, each read all bodies and
+// texts, and batch calls got 503 for more than ten seconds.
+TEST(GatewayBatch_TwoGateways, HostReadsOnlyTheBodiesThatItNeeds) {
+  constexpr std::size_t kBodyBytes = 30'000;
+  const std::string body(kBodyBytes / 3 * 4, 'A');
+  for (const auto& replica : this->fleet.replicas) {
+    replica->set_faults({.is_unresponsive = true});
+  }
+  for (const std::string job : {"j1", "j2", "j3", "j4", "j5", "j6"}) {
+    CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", job, {job + "-i"}, body)));
+  }
+  this->fleet.RunFor(std::chrono::milliseconds(500));
+  this->fleet.store.set_faults({.rejects_joins = true});
+  const std::uint64_t bytes_before = this->fleet.store.bytes_read();
+  this->fleet.StartGateway("c");
+  this->fleet.RunFor(std::chrono::milliseconds(500));
+  // Less than a single body, although the hosts before may read theirs again.
+  CHECK(this->fleet.store.bytes_read() - bytes_before < kBodyBytes);
+  RequestHead head{
+      .method = "GET",
+      .target = std::string(platform::call::kItemPrefix) + "j3?id=j3-i"};
+  head.fields.Add("Host", "shop.example");
+  const auto read = this->fleet.Send("c", std::move(head));
+  CHECK_EQUAL(200U, StatusOf(read));
+  CHECK(read->body == std::string(kBodyBytes, '\0'));
+}
+
+// Guards against losing jobs of the version before, which stored bodies and
+// texts in the topic that all hosts read.
+TEST(GatewayBatch_OldRecords, JobsOfTheVersionBeforeAreFinishedAndReadable) {
+  auto& store = this->fleet.store;
+  records::BatchJobAccepted job{.job = "old",
+                                .tag = "t",
+                                .route = "batch",
+                                .host = "shop.example",
+                                .path = "/batch/old",
+                                .submitted_ms = UnixMilliseconds()};
+  for (std::size_t i = 0; i < 2; ++i) {
+    store.Put("keyed.crocus", BodyKey("old", "t", i, 0), "body");
+    job.items.push_back({.id = "old-" + std::to_string(i),
+                         .path = "/batch/item",
+                         .tokens = 10,
+                         .body_parts = 1});
+  }
+  store.Put("keyed.crocus", JobKey("old", "t"), Encode(job));
+  store.Put("keyed.crocus", FinishedKey("old", 1, "w"),
+            Encode(records::BatchItemFinished{
+                .job = "old", .item = 1, .completed = true, .text = "kept"}));
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  this->fleet.StartGateway("a");
+  CHECK(this->fleet.RunUntil([this] {
+    const auto page = this->fleet.ReadResults("a", "old");
+    return !page.is_null() && page["results"].size() == 2;
+  }));
+  const auto page = this->fleet.ReadResults("a", "old");
+  STRCMP_EQUAL("kept", page["results"][0]["text"].get<std::string>().c_str());
+  STRCMP_EQUAL(ExpectedText("old-0").c_str(),
+               page["results"][1]["text"].get<std::string>().c_str());
+}
+
 }  // namespace crocus
--- a/Tests/Gateway/snapshot_test.cc
+++ b/Tests/Gateway/snapshot_test.cc
@@ -29,6 +29,13 @@
     this->fleet.StartGateway("gateway", this->fleet.store.port());
   }
 
+  /// Pages of the topics that a gateway reads as a whole at its start.
+  std::uint64_t SnapshotPages() const {
+    const auto& store = this->fleet.store;
+    return store.pages("keyed.op") + store.pages("keyed.servers") +
+           store.pages("keyed.crocus") - store.pages("keyed.crocus.");
+  }
+
   bool BecomesReady() {
     return this->fleet.RunUntil(
         [this] { return this->fleet.IsReady("gateway"); },
@@ -51,12 +58,12 @@
   this->fleet.store.set_faults({.delay = std::chrono::milliseconds(200)});
   this->Start();
   CHECK(this->fleet.RunUntil(
-      [this] { return this->fleet.store.pages() >= kPages - 1; }));
+      [this] { return this->SnapshotPages() >= kPages - 1; }));
   this->fleet.store.set_faults({.error_status = 503});
   this->fleet.RunFor(std::chrono::milliseconds(700));
   this->fleet.store.set_faults({});
   CHECK(this->BecomesReady());
-  CHECK_EQUAL(kPages, this->fleet.store.pages());
+  CHECK_EQUAL(kPages, this->SnapshotPages());
 }
 
 }  // namespace crocus
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -190,13 +190,14 @@
 Result<FetchedResponse> GatewayFleet::Submit(
     const std::string& gateway,
     const std::string& job,
-    const std::vector<std::string>& items) {
+    const std::vector<std::string>& items,
+    const std::string& body) {
   json list = json::array();
   for (const auto& item : items) {
     list.push_back({{"id", item},
                     {"path", "/batch/item"},
                     {"headers", {{"X-Note", "n"}}},
-                    {"body", "q83vEjRWeJA="},
+                    {"body", body},
                     {"tokens", 100}});
   }
   return this->Send(gateway, MakeRequestHead("batch", job),
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -122,6 +122,14 @@
   topic.first_offset = topic.end_offset;
 }
 
+void StoreStandin::CompactAll(const std::string& prefix) {
+  for (const auto& [name, topic] : this->topics) {
+    if (name.rfind(prefix, 0) == 0) {
+      this->Compact(name);
+    }
+  }
+}
+
 void StoreStandin::Rebalance() {
   this->AssignPartitions();
 }
@@ -170,6 +178,8 @@
     this->Read(session, request);
   } else if (path == "/-/log-newest") {
     this->ReadNewest(session, request);
+  } else if (path == "/-/log-join" && this->faults.rejects_joins) {
+    session->Respond(503, {}, "");
   } else if (path == "/-/log-join") {
     this->Join(session, request);
   } else if (path == "/-/log-leave") {
@@ -182,9 +192,24 @@
   }
 }
 
+namespace {
+
+/// Name under which the stand-in keeps the partition that a call refers to.
+/// Partition 0 has the name of its topic.
+std::string PartitionName(const Request& request) {
+  std::string name(request.head.QueryValue("topic"));
+  const std::string_view partition = request.head.QueryValue("part");
+  if (!partition.empty() && partition != "0") {
+    name += "#" + std::string(partition);
+  }
+  return name;
+}
+
+}  // namespace
+
 void StoreStandin::Append(const std::shared_ptr<ServerSession>& session,
                           const Request& request) {
-  const std::string topic(request.head.QueryValue("topic"));
+  const std::string topic = PartitionName(request);
   const std::uint64_t offset = this->topics[topic].end_offset;
   std::string_view rest = request.body;
   ++this->append_count;
@@ -203,7 +228,9 @@
     this->AddRecord(topic, std::move(record));
     rest.remove_prefix(kLengthBytes + length);
   }
-  if (this->random.Chance(this->faults.lost_responses)) {
+  const bool may_lose_response =
+      this->faults.lossy_topic.empty() || this->faults.lossy_topic == topic;
+  if (may_lose_response && this->random.Chance(this->faults.lost_responses)) {
     session->Abort();
   } else {
     session->Respond(
@@ -218,7 +245,7 @@
                         const Request& request) {
   WaitingRead read{
       .session = session,
-      .topic = std::string(request.head.QueryValue("topic")),
+      .topic = PartitionName(request),
       .offset = ParseNumber(request.head.QueryValue("start_rev")),
       .deadline = BootTimeNow() + std::chrono::milliseconds(ParseNumber(
                                       request.head.QueryValue("wait_ms")))};
@@ -248,6 +275,7 @@
     content += record.key + record.value.value_or("");
     body += BigEndian(content.size(), 4) + content;
   }
+  this->read_bytes += body.size();
   read.session->Respond(200, {}, std::move(body));
 }
 
@@ -270,10 +298,9 @@
 
 void StoreStandin::ReadNewest(const std::shared_ptr<ServerSession>& session,
                               const Request& request) {
-  const Topic& topic =
-      this->topics[std::string(request.head.QueryValue("topic"))];
+  const Topic& topic = this->topics[PartitionName(request)];
   const std::string after = PercentDecoded(request.head.QueryValue("after"));
-  ++this->page_count;
+  ++this->page_counts[PartitionName(request)];
   json items = json::array();
   bool has_more = false;
   for (const auto& [key, record] : topic.newest) {
@@ -288,11 +315,20 @@
                      {"value", EncodeBase64(*record.value)},
                      {"offset", record.offset}});
   }
-  session->Respond(200, {},
-                   json{{"items", std::move(items)},
-                        {"has_more", has_more},
-                        {"end_offset", topic.end_offset}}
-                       .dump());
+  std::string body = json{{"items", std::move(items)},
+                          {"has_more", has_more},
+                          {"end_offset", topic.end_offset}}
+                         .dump();
+  this->read_bytes += body.size();
+  session->Respond(200, {}, std::move(body));
+}
+
+std::uint64_t StoreStandin::pages(const std::string& topic_prefix) const {
+  std::uint64_t pages = 0;
+  for (const auto& [name, count] : this->page_counts) {
+    pages += name.rfind(topic_prefix, 0) == 0 ? count : 0;
+  }
+  return pages;
 }
 
 void StoreStandin::Join(const std::shared_ptr<ServerSession>& session,
--- a/Tests/PlatformStandin/store_standin.h
+++ b/Tests/PlatformStandin/store_standin.h
@@ -29,13 +29,17 @@
   Duration delay{};
   /// Reads of this topic's log get no response; those of its newest records do.
   std::string blocked_topic;
+  /// Calls to join a group get status 503, so that the caller is assigned no
+  /// partitions.
+  bool rejects_joins = false;
   /// Share of the appends that take effect and whose connection is closed
   /// without a response.
   double lost_responses = 0;
+  /// If it is not empty, only responses to appends to this topic are lost.
+  std::string lossy_topic;
 };
 
-/// A stand-in for the platform's metadata store: keyed topics with one
-/// partition, and groups. Runs in the test's event loop.
+/// A stand-in for the platform's metadata store: keyed topics and groups. Runs in the test's event loop.
 class StoreStandin {
  public:
   StoreStandin(boost::asio::io_context& loop, std::uint64_t seed);
@@ -50,13 +54,17 @@
   /// Deletes the log of a topic; only the newest record of each key remains,
   /// and only snapshots contain it.
   void Compact(const std::string& topic);
+  /// Does this for all partitions of all topics with that prefix.
+  void CompactAll(const std::string& prefix);
   /// Assigns all partitions to the members anew.
   void Rebalance();
 
   void set_faults(const StoreFaults& faults) { this->faults = faults; }
   std::uint64_t appends() const { return this->append_count; }
-  /// Pages of snapshots that were served.
-  std::uint64_t pages() const { return this->page_count; }
+  /// Pages of newest records that were served, of all topics with that prefix.
+  std::uint64_t pages(const std::string& topic_prefix) const;
+  /// Bytes of all responses to reads.
+  std::uint64_t bytes_read() const { return this->read_bytes; }
   /// The newest records of a topic, in the order of their offsets.
   std::vector<KeyedRecord> Newest(const std::string& topic) const;
 
@@ -106,7 +114,8 @@
   std::uint64_t generation = 1;
   std::list<WaitingRead> waiting_reads;
   std::uint64_t append_count = 0;
-  std::uint64_t page_count = 0;
+  std::map<std::string, std::uint64_t> page_counts;
+  std::uint64_t read_bytes = 0;
 };
 
 }  // namespace crocus
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -359,7 +359,7 @@
       faults.error_status = 429;
       break;
     case 5:
-      this->fleet.store.Compact("keyed.crocus");
+      this->fleet.store.CompactAll("keyed.crocus");
       this->fleet.store.Compact("keyed.servers");
       this->fleet.store.Compact("keyed.op");
       break;
