Bound what a replica or the store may send, and hold back fast replicas

A collected response, an event without end and interim heads had no bound but the request's timeout; bytes for a caller that does not read were queued without a bound; a batch run ended only after 4 s without a byte, so a comment now and then kept it. A progress record was appended once since the change before and lost with an outage of the store. Change: 16 MiB for a collected response and 48 MiB for all, 128 KiB for an event, 16 skipped heads, 16 MiB for a response of the store, 4 MiB for the text of an item. A caller with 256 KiB unsent pauses the read from its replica. A batch run ends after 4 s without an event. Of queued progress and deletions the newest of a key is kept and retried.

--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16 << 10;
+/// Interim (1xx) and mismatched responses before the awaited one. A server that
+/// sends them without end is given up.
+constexpr std::uint32_t kMaximumSkippedHeads = 16;
 constexpr std::size_t kMaximumHeadBytes = 64 << 10;
 /// Idle timeout of a server that does not declare one; most servers keep
 /// connections for several seconds.
@@ -69,6 +72,8 @@
   this->request_text = std::move(request_text);
   this->events = std::make_shared<const ExchangeEvents>(std::move(events));
   this->is_head_request = options.is_head_request;
+  this->body_bytes_left = options.maximum_body_bytes;
+  this->skipped_heads = 0;
   this->is_request_sent = false;
   this->head_delivered = false;
   this->skipped_response = false;
@@ -187,6 +192,11 @@
       if (!this->is_busy) {
         return false;
       }
+      if (++this->skipped_heads > kMaximumSkippedHeads) {
+        this->End(ExchangeEnd::kBrokenBeforeHead,
+                  "too many interim or mismatched responses");
+        return false;
+      }
       if (!this->parser->is_done()) {
         // The rest of a mismatched body cannot be distinguished from the
         // awaited response.
@@ -204,6 +214,11 @@
     this->head_delivered = true;
   }
   if (const std::string body = this->parser->TakeBody(); !body.empty()) {
+    if (body.size() > this->body_bytes_left) {
+      this->End(ExchangeEnd::kBrokenInBody, "response body too large");
+      return false;
+    }
+    this->body_bytes_left -= body.size();
     receiver->on_body(body);
   }
   return this->is_busy;
--- a/Libraries/LibAsyncHttp/client_connection.h
+++ b/Libraries/LibAsyncHttp/client_connection.h
@@ -75,6 +75,8 @@
   bool head_delivered = false;
   /// A mismatched response was skipped, so the connection is not reused.
   bool skipped_response = false;
+  std::uint64_t body_bytes_left = 0;
+  std::uint32_t skipped_heads = 0;
   TimePoint idle_deadline{};
 };
 
--- a/Libraries/LibAsyncHttp/exchange.h
+++ b/Libraries/LibAsyncHttp/exchange.h
@@ -1,7 +1,9 @@
 #ifndef LIBASYNCHTTP_EXCHANGE_H_
 #define LIBASYNCHTTP_EXCHANGE_H_
 
+#include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -41,6 +43,9 @@
   /// Timeout for opening a new connection.
   Duration connect_timeout = std::chrono::milliseconds(400);
   bool is_head_request = false;
+  /// Body bytes after which the response counts as broken. Receivers that
+  /// collect a body set it; others hold back the connection.
+  std::uint64_t maximum_body_bytes = std::numeric_limits<std::uint64_t>::max();
 };
 
 }  // namespace crocus
--- a/Libraries/LibAsyncHttp/http_fetch.cc
+++ b/Libraries/LibAsyncHttp/http_fetch.cc
@@ -70,7 +70,8 @@
   auto connection =
       pool.Start(options.pool_key, options.server,
                  SerializeRequest(options.head, options.body),
-                 std::move(events), {.connect_timeout = options.timeout});
+                 std::move(events), {.connect_timeout = options.timeout,
+                  .maximum_body_bytes = options.maximum_body_bytes});
   if (state->on_done) {
     state->connection = std::move(connection);
   }
--- a/Libraries/LibAsyncHttp/http_fetch.h
+++ b/Libraries/LibAsyncHttp/http_fetch.h
@@ -22,6 +22,8 @@
   boost::asio::ip::tcp::endpoint server;
   RequestHead head;
   std::string body;
+  /// Size of the body after which the response counts as broken.
+  std::uint64_t maximum_body_bytes = 16u << 20;
   /// Counted from the call to the end of the response.
   Duration timeout = std::chrono::seconds(1);
 };
--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -17,6 +17,10 @@
 /// Reading pauses at this number of unparsed bytes while a request is handled.
 constexpr std::size_t kReadAheadBytes = 64 << 10;
 constexpr std::uint32_t kContinue = 100;
+/// Unsent bytes above which a response should pause, and below which it should
+/// continue. Callers may read slowly or not at all.
+constexpr std::size_t kCongestedBytes = 256u << 10;
+constexpr std::size_t kDrainedBytes = 64u << 10;
 
 bool StatusHasBody(std::uint32_t status) {
   return status >= 200 && status != 204 && status != 304;
@@ -172,8 +176,13 @@
   this->FinishExchange();
 }
 
+bool ServerSession::is_congested() const {
+  return this->unsent.size() + this->in_flight.size() > kCongestedBytes;
+}
+
 void ServerSession::FinishExchange() {
   this->on_disconnect = nullptr;
+  this->on_drained = nullptr;
   if (!this->request_keeps_alive) {
     this->closes_after_write = true;
     this->WriteNext();
@@ -189,6 +198,7 @@
 
 void ServerSession::Abort() {
   this->on_disconnect = nullptr;
+  this->on_drained = nullptr;
   this->Close();
 }
 
@@ -234,6 +244,11 @@
           return;
         }
         self->WriteNext();
+        if (self->on_drained &&
+            self->unsent.size() + self->in_flight.size() < kDrainedBytes) {
+          const auto callback = std::exchange(self->on_drained, nullptr);
+          callback();
+        }
       });
 }
 
--- a/Libraries/LibAsyncHttp/server_session.h
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -57,6 +57,15 @@
     this->on_disconnect = std::move(callback);
   }
 
+  /// Sets the callback for the next time at which few bytes are unsent. It is
+  /// called once.
+  void set_on_drained(std::function<void()> callback) {
+    this->on_drained = std::move(callback);
+  }
+  /// True if the caller reads more slowly than the response arrives. The
+  /// producer of the response should pause until the queue has drained.
+  bool is_congested() const;
+
   /// Sends a complete response.
   void Respond(std::uint32_t status, HeaderFields fields, std::string body);
   /// Starts a response whose body follows through SendBody. Without a length
@@ -117,6 +126,7 @@
   std::string in_flight;
   TimePoint started{};
   std::function<void()> on_disconnect;
+  std::function<void()> on_drained;
 };
 
 }  // namespace crocus
--- a/Libraries/LibServing/event_stream_parser.h
+++ b/Libraries/LibServing/event_stream_parser.h
@@ -1,6 +1,7 @@
 #ifndef LIBSERVING_EVENT_STREAM_PARSER_H_
 #define LIBSERVING_EVENT_STREAM_PARSER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,10 +28,17 @@
   /// Parses further bytes and returns the events that they complete.
   std::vector<StreamEvent> Feed(std::string_view bytes);
 
+  /// True if an event is longer than the limit. The stream is then malformed,
+  /// and its further bytes must not be fed.
+  bool is_overlong() const { return this->pending.size() > kMaximumEventBytes; }
+
   /// Bytes after the last complete event.
   const std::string& rest() const { return this->pending; }
 
  private:
+  /// A server may send bytes without end that never complete an event.
+  static constexpr std::size_t kMaximumEventBytes = 128u << 10;
+
   std::string pending;
 };
 
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -13,7 +13,9 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(100);
-/// A run that receives no bytes for this long is stopped, and its item is
+/// Size of an item's text above which its replica is considered malformed.
+constexpr std::size_t kMaximumTextBytes = 4u << 20;
+/// A run that receives no event for this long is stopped, and its item is
 /// resumed at another replica. It is longer than the longest wait in an
 /// engine's queue.
 constexpr Duration kIdleRunTimeout = std::chrono::seconds(4);
@@ -93,14 +95,14 @@
   const TimePoint now = BootTimeNow();
   std::vector<ItemReference> idle_items;
   for (const auto& [item, run] : this->runs) {
-    if (now - run.last_received > kIdleRunTimeout) {
+    if (now - run.last_event_received > kIdleRunTimeout) {
       idle_items.push_back(item);
     }
   }
   for (const auto& item : idle_items) {
     auto& progress = this->queue.Progress(item);
     progress.avoided.insert(this->runs.at(item).attempt->replica());
-    this->StopRun(item, "no bytes received");
+    this->StopRun(item, "no event received");
   }
   this->queue.Prune(this->job_table);
   this->AbandonExpiredItems();
@@ -303,11 +305,11 @@
                 run.status = response.status;
                 run.is_usable = response.status == http_status::kOk &&
                                 response_metadata.is_signed;
-                run.last_received = BootTimeNow();
+                run.last_event_received = BootTimeNow();
               },
           .on_body = [this, item](auto bytes) { this->OnBody(item, bytes); },
           .on_end = [this, item](const auto& end) { this->OnEnd(item, end); }});
-  this->runs[item] = Run{.attempt = attempt, .last_received = now};
+  this->runs[item] = Run{.attempt = attempt, .last_event_received = now};
   attempt->Start();
 }
 
@@ -350,7 +352,6 @@
 
 void BatchRunner::OnBody(const ItemReference& item, std::string_view bytes) {
   Run& run = this->runs.at(item);
-  run.last_received = BootTimeNow();
   if (!run.is_usable) {
     return;
   }
@@ -363,6 +364,9 @@
     if (!run.is_in_order) {
       return;
     }
+    // Bytes that complete no event do not count: a stalled replica may send
+    // some now and then.
+    run.last_event_received = BootTimeNow();
     if (progress.events > 0) {
       progress.text += '\n';
     }
@@ -370,6 +374,16 @@
     progress.last_event = event.id;
     ++progress.events;
   }
+  if (run.event_parser.is_overlong() ||
+      progress.text.size() > kMaximumTextBytes) {
+    progress.avoided.insert(run.attempt->replica());
+    if (progress.text.size() > kMaximumTextBytes) {
+      progress.text.clear();
+      progress.last_event.reset();
+      progress.events = 0;
+    }
+    this->StopRun(item, "malformed output");
+  }
 }
 
 void BatchRunner::OnEnd(const ItemReference& item, const AttemptEnd& end) {
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -76,7 +76,8 @@
     /// False after an event that has no id or no data, or whose id does not
     /// follow the previous one.
     bool is_in_order = true;
-    TimePoint last_received{};
+    /// When the last event, or the head of the response, was received.
+    TimePoint last_event_received{};
   };
 
   void Tick();
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -26,7 +26,7 @@
     : store(store),
       options(std::move(options)),
       timer(loop),
-      once_timer(loop) {}
+      newest_timer(loop) {}
 
 std::string BatchWriter::NextTag() {
   return this->options.writer + "-" + std::to_string(this->next_tag++);
@@ -182,9 +182,9 @@
 }
 
 std::size_t BatchWriter::unwritten() const {
-  std::size_t count = this->pending.size();
-  for (const auto& [place, writes] : this->queued_once) {
-    count += writes.size();
+  std::size_t count = this->pending.size() + this->appending_newest;
+  for (const auto& [place, records] : this->queued_newest) {
+    count += records.size();
   }
   return count;
 }
@@ -204,57 +204,70 @@
     // from its beginning.
     return;
   }
-  this->QueueOnce(
+  this->QueueNewest(
       {.topic = this->options.progress_topic,
        .partition = PartitionOfJob(progress.job, this->options.partitions)},
       {.key = StoredProgressKey(progress.job, progress.item),
        .value = Encode(progress)});
 }
 
-void BatchWriter::QueueOnce(TopicPartition place, KeyedWrite write) {
-  this->queued_once[std::move(place)].push_back(std::move(write));
-  if (std::exchange(this->is_once_flush_scheduled, true)) {
+void BatchWriter::QueueNewest(const TopicPartition& place, KeyedWrite write) {
+  this->queued_newest[place][write.key] = std::move(write.value);
+  this->ScheduleNewestFlush(kFlushDelay);
+}
+
+void BatchWriter::ScheduleNewestFlush(Duration delay) {
+  if (std::exchange(this->is_newest_flush_scheduled, true)) {
     return;
   }
-  this->once_timer.expires_after(kFlushDelay);
-  this->once_timer.async_wait([this](const auto& error) {
-    this->is_once_flush_scheduled = false;
+  this->newest_timer.expires_after(delay);
+  this->newest_timer.async_wait([this](const auto& error) {
+    this->is_newest_flush_scheduled = false;
     if (!error) {
-      this->FlushQueuedOnce();
+      this->FlushNewest();
     }
   });
 }
 
-void BatchWriter::FlushQueuedOnce() {
-  for (auto& [place, writes] : std::exchange(this->queued_once, {})) {
-    std::vector<KeyedWrite> call;
+void BatchWriter::FlushNewest() {
+  for (auto& [place, records] : std::exchange(this->queued_newest, {})) {
+    std::vector<KeyedWrite> writes;
     std::uint64_t bytes = 0;
-    const auto append = [this, &place, &call] {
-      this->store.Append(
-          place, std::exchange(call, {}), [place](auto reply) {
-            if (!reply) {
-              LogEvent(Event::kBatchAppendFailed,
-                       {{"records", place.topic},
-                        {"reason", reply.error().message},
-                        {"verdict",
-                         std::string(ToString(reply.error().verdict))}});
-            }
-          });
-    };
-    for (auto& write : writes) {
-      const std::uint64_t size =
-          (write.value ? write.value->size() : 0) + kRecordOverhead;
-      if (!call.empty() && bytes + size > this->options.call_bytes) {
-        append();
+    for (auto& [key, value] : records) {
+      const std::uint64_t size = (value ? value->size() : 0) + kRecordOverhead;
+      if (!writes.empty() && bytes + size > this->options.call_bytes) {
+        this->AppendNewest(place, std::exchange(writes, {}));
         bytes = 0;
       }
       bytes += size;
-      call.push_back(std::move(write));
+      writes.push_back({.key = key, .value = std::move(value)});
     }
-    append();
+    this->AppendNewest(place, std::move(writes));
   }
 }
 
+void BatchWriter::AppendNewest(const TopicPartition& place,
+                               std::vector<KeyedWrite> writes) {
+  const auto records =
+      std::make_shared<std::vector<KeyedWrite>>(std::move(writes));
+  this->appending_newest += records->size();
+  this->store.Append(place, *records, [this, place, records](auto reply) {
+    this->appending_newest -= records->size();
+    if (reply) {
+      return;
+    }
+    LogEvent(Event::kBatchAppendFailed,
+             {{"records", std::to_string(records->size())},
+              {"reason", reply.error().message},
+              {"verdict", std::string(ToString(reply.error().verdict))}});
+    NewestRecords& queued = this->queued_newest[place];
+    for (auto& write : *records) {
+      queued.try_emplace(std::move(write.key), std::move(write.value));
+    }
+    this->ScheduleNewestFlush(kRetryDelay);
+  });
+}
+
 void BatchWriter::ScheduleFlush(Duration delay) {
   if (this->is_flush_scheduled || this->is_flushing) {
     return;
@@ -389,10 +402,10 @@
   }
   const std::string& job = record.finished.job;
   for (const auto& key : record.obsolete_body) {
-    this->QueueOnce(this->DataPartition(job),
+    this->QueueNewest(this->DataPartition(job),
                     {.key = key, .value = std::nullopt});
   }
-  this->QueueOnce({.topic = this->options.progress_topic,
+  this->QueueNewest({.topic = this->options.progress_topic,
                    .partition = PartitionOfJob(job, this->options.partitions)},
                   {.key = StoredProgressKey(job, record.finished.item),
                    .value = std::nullopt});
@@ -401,14 +414,14 @@
 void BatchWriter::DeleteData(const std::string& job,
                              const std::vector<std::string>& keys) {
   for (const auto& key : keys) {
-    this->QueueOnce(this->DataPartition(job),
+    this->QueueNewest(this->DataPartition(job),
                     {.key = key, .value = std::nullopt});
   }
 }
 
 void BatchWriter::DeleteKeys(const std::vector<std::string>& keys) {
   for (const auto& key : keys) {
-    this->QueueOnce({.topic = this->options.topic},
+    this->QueueNewest({.topic = this->options.topic},
                     {.key = key, .value = std::nullopt});
   }
 }
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -64,12 +64,11 @@
   /// key.
   std::string AppendItemFailure(const ItemReference& item);
 
-  /// Queues a record of the progress of an item's runs. It is appended once: if
-  /// it is lost, another host repeats the work since the previous one.
+  /// Queues a record of the progress of an item's runs. It replaces one that is
+  /// still queued.
   void AppendProgress(const records::BatchItemProgress& progress);
 
-  /// Deletes keys of the topic that all hosts read. A failure is logged and the
-  /// call is not retried.
+  /// Deletes keys of the topic that all hosts read.
   void DeleteKeys(const std::vector<std::string>& keys);
   /// The same for bodies and texts of the job.
   void DeleteData(const std::string& job, const std::vector<std::string>& keys);
@@ -115,9 +114,13 @@
   void OnFlushFailed(std::size_t count, const Error& error);
   /// Deletes what the finished items do not need any more.
   void DeleteObsolete(const PendingRecord& record);
-  /// Queues a record of the data or the progress topic that is appended once.
-  void QueueOnce(TopicPartition place, KeyedWrite write);
-  void FlushQueuedOnce();
+  /// Queues a record of which only the newest of its key matters. The append is
+  /// retried until it succeeds or a newer record replaces this one.
+  void QueueNewest(const TopicPartition& place, KeyedWrite write);
+  void ScheduleNewestFlush(Duration delay);
+  void FlushNewest();
+  void AppendNewest(const TopicPartition& place,
+                    std::vector<KeyedWrite> writes);
   void Flush();
   void ScheduleFlush(Duration delay);
 
@@ -126,9 +129,13 @@
   boost::asio::steady_timer timer;
   std::uint64_t next_tag = 1;
   std::deque<PendingRecord> pending;
-  std::map<TopicPartition, std::vector<KeyedWrite>> queued_once;
-  boost::asio::steady_timer once_timer;
-  bool is_once_flush_scheduled = false;
+  /// Values by key; none to delete the key.
+  using NewestRecords = std::map<std::string, std::optional<std::string>>;
+  std::map<TopicPartition, NewestRecords> queued_newest;
+  boost::asio::steady_timer newest_timer;
+  bool is_newest_flush_scheduled = false;
+  /// Records of appends that have no reply yet.
+  std::size_t appending_newest = 0;
   bool is_flushing = false;
   bool is_flush_scheduled = false;
 };
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -19,6 +19,12 @@
 /// registry.
 constexpr Duration kNoReplicaRetryAfter = std::chrono::milliseconds(500);
 
+/// Size of a response that is collected before it is passed on, and of all such
+/// responses of this process. A replica in trouble may send bytes without end;
+/// the smallest hosts have 160 MB.
+constexpr std::size_t kMaximumCollectedBytes = 16u << 20;
+constexpr std::size_t kMaximumAllCollectedBytes = 48u << 20;
+
 bool IsSuccess(std::uint32_t status) {
   return status >= 200 && status < 300;
 }
@@ -97,7 +103,7 @@
   const ReplicaRecord* replica = this->context.directory.Find(chosen.replica);
   this->tried_replicas.insert(chosen.replica);
   this->head = {};
-  this->buffered_body.clear();
+  this->ClearCollectedBody();
   this->event_parser = {};
   this->is_usable = false;
   const auto self = this->shared_from_this();
@@ -151,7 +157,7 @@
   if (this->is_usable && this->is_stream()) {
     this->ForwardEvents(bytes);
   } else {
-    this->buffered_body += bytes;
+    this->CollectBody(bytes);
   }
 }
 
@@ -165,6 +171,43 @@
     }
     this->options.session->SendBody(event.bytes);
   }
+  if (this->event_parser.is_overlong()) {
+    this->EndMalformedAttempt("event too long");
+    return;
+  }
+  if (this->attempt && this->options.session->is_congested()) {
+    this->attempt->set_paused(true);
+    this->options.session->set_on_drained(
+        [weak = std::weak_ptr<ReplicaAttempt>(this->attempt)] {
+          if (const auto paused = weak.lock()) {
+            paused->set_paused(false);
+          }
+        });
+  }
+}
+
+void ForwardedRequest::CollectBody(std::string_view bytes) {
+  if (this->buffered_body.size() + bytes.size() > kMaximumCollectedBytes ||
+      this->context.collected_bytes + bytes.size() >
+          kMaximumAllCollectedBytes) {
+    this->EndMalformedAttempt("response body too large");
+    return;
+  }
+  this->context.collected_bytes += bytes.size();
+  this->buffered_body += bytes;
+}
+
+void ForwardedRequest::ClearCollectedBody() {
+  this->context.collected_bytes -= this->buffered_body.size();
+  this->buffered_body = std::string();
+}
+
+void ForwardedRequest::EndMalformedAttempt(const std::string& reason) {
+  this->context.loads.OnFailure(this->attempt->replica(), BootTimeNow());
+  this->attempt->Cancel();
+  this->OnEnd({.end = ExchangeEnd::kBrokenInBody,
+               .verdict = Verdict::kMayHaveRun,
+               .reason = reason});
 }
 
 void ForwardedRequest::OnEnd(const AttemptEnd& end) {
@@ -306,6 +349,7 @@
                               Verdict verdict) {
   this->is_finished = true;
   this->timer.cancel();
+  this->ClearCollectedBody();
   this->attempt.reset();
   const Duration total = BootTimeNow() - this->arrival;
   const std::string& route = this->options.route->name;
--- a/Services/Gateway/forwarded_request.h
+++ b/Services/Gateway/forwarded_request.h
@@ -40,6 +40,11 @@
   void OnHead(const ResponseHead& head,
               const ReplicaResponseMetadata& response_metadata);
   void OnBody(std::string_view bytes);
+  /// Collects bytes of a response that is passed on as a whole.
+  void CollectBody(std::string_view bytes);
+  void ClearCollectedBody();
+  /// Ends the attempt because of bytes that the replica has sent.
+  void EndMalformedAttempt(const std::string& reason);
   void OnEnd(const AttemptEnd& end);
   void OnCompleteResponse();
   void HandleFailedAttempt(const AttemptEnd& end);
--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -29,6 +29,8 @@
   std::function<void()> on_load_change;
   /// Age of this host's copy of the replica registry.
   std::function<Duration()> registry_age;
+  /// Bytes of all responses that are collected before they are passed on.
+  std::size_t collected_bytes = 0;
 };
 
 /// Milliseconds as text, for logs.
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -104,6 +104,12 @@
   this->Release();
 }
 
+void ReplicaAttempt::set_paused(bool paused) {
+  if (this->connection) {
+    this->connection->set_paused(paused);
+  }
+}
+
 void ReplicaAttempt::Release() {
   this->connection.reset();
   if (std::exchange(this->is_counted, false)) {
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -50,6 +50,9 @@
   /// Closes the connection, so that the replica stops the request.
   void Cancel();
 
+  /// While paused, no further bytes of the response are read.
+  void set_paused(bool paused);
+
   const std::string& replica() const { return this->options.replica; }
   TimePoint started() const { return this->start_time; }
 
