Answer requests that have just arrived when a process stops

A stopping process ended although bytes of a response were still queued for a caller, or a request had arrived in part; connections in the kernel's backlog were reset, and new connections were closed with their request on its way. Change: a session is busy until its response is sent, and from the first byte of a request. StopAccepting takes the connections of the backlog first; a new connection is kept for 500 ms for its first request.

--- a/Libraries/LibAsyncHttp/http_listener.cc
+++ b/Libraries/LibAsyncHttp/http_listener.cc
@@ -67,18 +67,22 @@
       });
       return;
     }
-    SetSocketOptions(socket);
-    const auto session = std::make_shared<ServerSession>(std::move(socket),
-                                                         this->session_options);
-    this->sessions[session.get()] = session;
-    if (this->should_announce_close) {
-      session->AnnounceClose();
-    }
-    session->Start();
+    this->StartSession(std::move(socket));
     this->Accept();
   });
 }
 
+void HttpListener::StartSession(boost::asio::ip::tcp::socket socket) {
+  SetSocketOptions(socket);
+  const auto session = std::make_shared<ServerSession>(std::move(socket),
+                                                       this->session_options);
+  this->sessions[session.get()] = session;
+  if (this->should_announce_close) {
+    session->AnnounceClose();
+  }
+  session->Start();
+}
+
 void HttpListener::AnnounceClose() {
   this->should_announce_close = true;
   for (const auto& [key, weak] : this->sessions) {
@@ -89,6 +93,16 @@
 }
 
 void HttpListener::StopAccepting() {
+  boost::system::error_code error;
+  // Connections that the kernel has accepted would be reset, and with them
+  // requests that their callers have sent already.
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    auto socket = this->acceptor.accept(error);
+    if (!error) {
+      this->StartSession(std::move(socket));
+    }
+  }
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
   this->retry_timer.cancel();
@@ -111,7 +125,7 @@
   std::size_t count = 0;
   for (const auto& [key, weak] : this->sessions) {
     const auto session = weak.lock();
-    count += session && session->is_handling() ? 1 : 0;
+    count += session && session->is_busy() ? 1 : 0;
   }
   return count;
 }
--- a/Libraries/LibAsyncHttp/http_listener.h
+++ b/Libraries/LibAsyncHttp/http_listener.h
@@ -34,11 +34,14 @@
   /// The port on which the listener accepts connections.
   std::uint16_t port() const;
 
+  /// Sessions that receive or handle a request, or whose response is not sent
+  /// completely.
   std::size_t busy_sessions() const;
   std::size_t open_sessions() const { return this->sessions.size(); }
 
  private:
   void Accept();
+  void StartSession(boost::asio::ip::tcp::socket socket);
 
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer retry_timer;
--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -17,6 +17,9 @@
 /// Reading pauses at this number of unparsed bytes while a request is handled.
 constexpr std::size_t kReadAheadBytes = 64 << 10;
 constexpr std::uint32_t kContinue = 100;
+/// Time that a caller has to send its request on a connection that was accepted
+/// just before the process stopped accepting.
+constexpr std::chrono::milliseconds kFirstRequestTime{500};
 /// Unsent bytes above which a response should pause, and below which it should
 /// continue. Callers may read slowly or not at all.
 constexpr std::size_t kCongestedBytes = 256u << 10;
@@ -112,6 +115,8 @@
   this->parser.reset();
   this->timer.cancel();
   this->state = State::kHandling;
+  this->has_received_request = true;
+  this->awaits_first_request = false;
   this->request_keeps_alive = request.head.keep_alive;
   this->is_head_request = request.head.method == "HEAD";
   this->Read();
@@ -204,11 +209,22 @@
 
 void ServerSession::CloseWhenIdle() {
   this->closes_when_idle = true;
-  if (this->state == State::kReading && !this->parser &&
-      this->input.size() == 0) {
-    this->closes_after_write = true;
-    this->WriteNext();
+  if (this->state != State::kReading || this->parser ||
+      this->input.size() > 0) {
+    return;
+  }
+  boost::beast::error_code error;
+  if (this->socket.available(error) > 0) {
+    // A request has arrived and is read next.
+    return;
+  }
+  if (!this->has_received_request) {
+    this->awaits_first_request = true;
+    this->SetTimer(kFirstRequestTime);
+    return;
   }
+  this->closes_after_write = true;
+  this->WriteNext();
 }
 
 void ServerSession::Write(std::string bytes) {
--- a/Libraries/LibAsyncHttp/server_session.h
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -81,13 +81,21 @@
   /// progress is incomplete.
   void Abort();
 
-  /// Closes the connection as soon as no request is being handled.
+  /// Closes the connection as soon as no request is being handled. A new
+  /// connection is kept for a moment: its request may be on its way.
   void CloseWhenIdle();
 
   /// Makes each further response announce that the connection closes after it.
   void AnnounceClose() { this->closes_after_response = true; }
 
-  bool is_handling() const { return this->state == State::kHandling; }
+  /// True while a request is being received or handled, or bytes of a response
+  /// are unsent.
+  bool is_busy() const {
+    return this->socket.is_open() &&
+           (this->state == State::kHandling || this->parser != nullptr ||
+            this->input.size() > 0 || this->is_writing ||
+            this->awaits_first_request);
+  }
   bool is_open() const { return this->socket.is_open(); }
   /// When the first byte of the current request was read.
   TimePoint request_started() const { return this->started; }
@@ -120,6 +128,10 @@
   bool closes_after_response = false;
   bool closes_after_write = false;
   bool closes_when_idle = false;
+  bool has_received_request = false;
+  /// True while a new connection is kept for its first request although no new
+  /// connections are accepted any more.
+  bool awaits_first_request = false;
   bool is_head_request = false;
   bool sent_continue = false;
   std::string unsent;
--- /dev/null
+++ b/Tests/LibAsyncHttp/http_listener_test.cc
@@ -0,0 +1,120 @@
+#include "LibAsyncHttp/http_listener.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <array>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace crocus {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+}  // namespace
+
+/// A listener whose process is about to end: it ends once no session is busy.
+TEST_GROUP(HttpListener_Stopping) {
+  boost::asio::io_context loop;
+  std::string body = "answer";
+  HttpListener listener{
+      this->loop, [] { return SessionLimits(); },
+      [this](const auto& session, const auto&) {
+        session->Respond(200, {}, this->body);
+      }};
+  tcp::socket caller{this->loop};
+
+  void setup() override {
+    CHECK(this->listener
+              .Listen({boost::asio::ip::address_v4::loopback(), 0})
+              .has_value());
+  }
+
+  void Connect() {
+    this->caller.connect({boost::asio::ip::address_v4::loopback(),
+                          this->listener.port()});
+  }
+
+  void Run(std::chrono::milliseconds time) {
+    this->loop.restart();
+    this->loop.run_for(time);
+  }
+
+  /// Runs the loop as a stopping process does, and returns what the caller
+  /// receives until its connection is closed.
+  std::string RunUntilNotBusy() {
+    std::string received;
+    std::array<char, 65536> buffer{};
+    for (int step = 0; step < 200 && this->listener.busy_sessions() > 0;
+         ++step) {
+      this->Run(std::chrono::milliseconds(5));
+      boost::system::error_code error;
+      while (this->caller.available(error) > 0 && !error) {
+        const std::size_t bytes =
+            this->caller.read_some(boost::asio::buffer(buffer), error);
+        received.append(buffer.data(), bytes);
+      }
+    }
+    return received;
+  }
+};
+
+// Guards against a response that is cut off because the process ends while its
+// bytes are still queued for a caller that reads slowly.
+TEST(HttpListener_Stopping, SessionIsBusyUntilItsResponseIsSent) {
+  this->body = std::string(16u << 20, 'x');
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest));
+  this->Run(std::chrono::milliseconds(100));
+  this->listener.StopAccepting();
+  CHECK_EQUAL(1U, this->listener.busy_sessions());
+  CHECK(this->RunUntilNotBusy().size() > this->body.size());
+}
+
+// Guards against a reset of a connection that the kernel accepted just before
+// the process stopped accepting, and whose request has arrived.
+TEST(HttpListener_Stopping, RequestOfAConnectionInTheBacklogIsAnswered) {
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest));
+  this->listener.StopAccepting();
+  CHECK(this->RunUntilNotBusy().find("answer") != std::string::npos);
+}
+
+// Guards against closing a new connection whose request is on its way.
+TEST(HttpListener_Stopping, RequestRightAfterTheStopIsAnswered) {
+  this->Connect();
+  this->Run(std::chrono::milliseconds(50));
+  this->listener.StopAccepting();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest));
+  CHECK(this->RunUntilNotBusy().find("answer") != std::string::npos);
+}
+
+// Guards against a request that is cut off because only its head has arrived.
+TEST(HttpListener_Stopping, RequestWhoseRestArrivesAfterTheStopIsAnswered) {
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest.substr(0, 20)));
+  this->Run(std::chrono::milliseconds(50));
+  this->listener.StopAccepting();
+  CHECK_EQUAL(1U, this->listener.busy_sessions());
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest.substr(20)));
+  CHECK(this->RunUntilNotBusy().find("answer") != std::string::npos);
+}
+
+// Guards against a process that does not end because of an idle connection.
+TEST(HttpListener_Stopping, IdleConnectionIsClosed) {
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest));
+  this->Run(std::chrono::milliseconds(50));
+  this->listener.StopAccepting();
+  this->Run(std::chrono::milliseconds(50));
+  CHECK_EQUAL(0U, this->listener.open_sessions());
+}
+
+}  // namespace crocus
