Do not run items again whose results wait for the store

Change: a host reports such items as running for 5 s, about the time of a further run. FaultProxy moves to the stand-ins, which the test shares with the soak. Test: ItemWhoseResultIsNotWrittenYetIsNotRunAgain fails with the gateway before (2 runs).

--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -36,6 +36,10 @@
 constexpr Duration kFailedBackoff = std::chrono::milliseconds(300);
 /// Time before the body of an item is read again after a failed read.
 constexpr Duration kBodyReadBackoff = std::chrono::milliseconds(300);
+/// Time for which other hosts do not run an item whose result this host could
+/// not write yet, because it cannot reach the store. A further run takes about
+/// as long.
+constexpr Duration kUnconfirmedResultHold = std::chrono::milliseconds(5000);
 /// Reads of bodies in progress at once. More would delay other calls to the
 /// store behind them.
 constexpr std::uint32_t kMaximumBodyReads = 8;
@@ -82,6 +86,10 @@
   for (const auto& [item, run] : this->runs) {
     items.push_back(item.Hash());
   }
+  for (const auto& item :
+       this->writer.UnconfirmedItems(BootTimeNow() - kUnconfirmedResultHold)) {
+    items.push_back(item.Hash());
+  }
   return items;
 }
 
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -53,7 +53,8 @@
   /// whose job has ended.
   void PreemptRuns();
 
-  /// Hashes of the running items, for the reports to other hosts.
+  /// Hashes of the running items, and of those whose result is not in the store
+  /// yet, for the reports to other hosts.
   std::vector<std::uint64_t> RunningItemHashes() const;
 
   /// Due time of the most urgent item that waits for a slot and can be finished
--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <utility>
 
+#include "LibCore/time.h"
 #include "LibEvents/event_log.h"
 #include "LibMessages/codec.h"
 #include "LibServing/batch_job_table.h"
@@ -173,7 +174,8 @@
                            .value = "",
                            .finished = std::move(item),
                            .text = std::nullopt,
-                           .obsolete_body = std::move(obsolete_body)});
+                           .obsolete_body = std::move(obsolete_body),
+                           .queued = BootTimeNow()});
   this->ScheduleFlush(kFlushDelay);
 }
 
@@ -181,6 +183,18 @@
   return this->options.record_bytes - kRecordOverhead;
 }
 
+std::vector<ItemReference> BatchWriter::UnconfirmedItems(
+    TimePoint since) const {
+  std::vector<ItemReference> items;
+  for (const auto& record : this->pending) {
+    if (!record.key && record.queued > since) {
+      items.push_back(
+          {.job = record.finished.job, .item = record.finished.item});
+    }
+  }
+  return items;
+}
+
 std::size_t BatchWriter::unwritten() const {
   std::size_t count = this->pending.size() + this->appending_newest;
   for (const auto& [place, records] : this->queued_newest) {
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -73,6 +73,10 @@
   /// The same for bodies and texts of the job.
   void DeleteData(const std::string& job, const std::vector<std::string>& keys);
 
+  /// Items whose final state was queued after `since` and has not been
+  /// confirmed.
+  std::vector<ItemReference> UnconfirmedItems(TimePoint since) const;
+
   /// Number of queued records.
   std::size_t unwritten() const;
 
@@ -89,6 +93,7 @@
     /// Where the text is, once it has been appended.
     std::optional<records::DataPlace> text;
     std::vector<std::string> obsolete_body;
+    TimePoint queued{};
   };
 
   std::string NextTag();
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -7,6 +7,7 @@
 #include "LibCore/time.h"
 #include "LibMessages/codec.h"
 #include "LibServing/batch_job_table.h"
+#include "PlatformStandin/fault_proxy.h"
 #include "PlatformStandin/gateway_fleet.h"
 #include "platform/names.h"
 
@@ -61,6 +62,10 @@
   }
 };
 
+TEST_GROUP(GatewayBatch_CutOffHost) {
+  GatewayFleet fleet;
+};
+
 TEST_GROUP(GatewayBatch_OldRecords) {
   GatewayFleet fleet;
 };
@@ -271,6 +276,30 @@
   CHECK(read->body == std::string(kBodyBytes, '\0'));
 }
 
+// Guards against running items again whose results wait on a host that cannot
+// reach the store: 190 items of a day on which the store turned away a third of
+// the hosts for 9 s.
+TEST(GatewayBatch_CutOffHost, ItemWhoseResultIsNotWrittenYetIsNotRunAgain) {
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  FaultProxy proxy(this->fleet.loop, this->fleet.store.port());
+  this->fleet.StartGateway("a", proxy.port());
+  CHECK(this->fleet.RunUntil([this] { return this->fleet.IsReady("a"); }));
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "job", {"item"})));
+  CHECK(this->fleet.RunUntil(
+      [this] { return this->fleet.RunsOf("item") == 1; }));
+  proxy.set_faults({.holds_requests = true, .refuses_connections = true});
+  this->fleet.StartGateway("b");
+  // The store assigns the job to the other host 3 s after the last renewal.
+  this->fleet.RunFor(std::chrono::milliseconds(4000));
+  proxy.ResetConnections();
+  proxy.set_faults({});
+  CHECK(this->fleet.RunUntil([this] {
+    const auto page = this->fleet.ReadResults("b", "job");
+    return !page.is_null() && page["results"].size() == 1;
+  }));
+  CHECK_EQUAL(1U, this->fleet.RunsOf("item"));
+}
+
 // Guards against losing jobs of the version before, which stored bodies and
 // texts in the topic that all hosts read.
 TEST(GatewayBatch_OldRecords, JobsOfTheVersionBeforeAreFinishedAndReadable) {
--- a/Tests/PlatformStandin/fault_proxy.cc
+++ b/Tests/PlatformStandin/fault_proxy.cc
@@ -1,4 +1,4 @@
-#include "Soak/fault_proxy.h"
+#include "PlatformStandin/fault_proxy.h"
 
 #include <array>
 #include <string>
--- a/Tests/PlatformStandin/fault_proxy.h
+++ b/Tests/PlatformStandin/fault_proxy.h
@@ -1,5 +1,5 @@
-#ifndef TESTS_SOAK_FAULT_PROXY_H_
-#define TESTS_SOAK_FAULT_PROXY_H_
+#ifndef TESTS_PLATFORM_STANDIN_FAULT_PROXY_H_
+#define TESTS_PLATFORM_STANDIN_FAULT_PROXY_H_
 
 #include <cstdint>
 #include <memory>
@@ -51,4 +51,4 @@
 
 }  // namespace crocus
 
-#endif  // TESTS_SOAK_FAULT_PROXY_H_
+#endif  // TESTS_PLATFORM_STANDIN_FAULT_PROXY_H_
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -14,7 +14,7 @@
 
 #include "LibCore/random.h"
 #include "PlatformStandin/gateway_fleet.h"
-#include "Soak/fault_proxy.h"
+#include "PlatformStandin/fault_proxy.h"
 #include "Soak/soak_checks.h"
 
 namespace crocus {
