Continue after an unexpected error in the handling of one message

Change: RunEventLoop logs the error (event 734) and continues. Test: EventLoop_ThrowingHandler; io_context::run alone lets the exception end the process.

--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -161,6 +161,8 @@
       return "settings_reloaded";
     case Event::kGroupJoinFailed:
       return "group_join_failed";
+    case Event::kUnexpectedError:
+      return "unexpected_error";
   }
   return "unknown";
 }
@@ -248,6 +250,7 @@
     case Event::kRulesStateUnknown:
     case Event::kConfigurationRejected:
     case Event::kBatchRecordRejected:
+    case Event::kUnexpectedError:
       return Severity::kError;
   }
   return Severity::kError;
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -89,6 +89,7 @@
   kPeerReportRejected = 731,
   kSettingsReloaded = 732,
   kGroupJoinFailed = 733,
+  kUnexpectedError = 734,
 };
 
 /// Returns the event's name in the catalogue, such as "program_started".
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -653,7 +653,7 @@
         }
         for (const auto& record : page->records) {
           if (const auto applied =
-                  this->job_table.ApplyProgress(*record.value);
+                  this->job_table.ApplyProgress(record.value.value_or(""));
               !applied) {
             LogEvent(Event::kBatchRecordRejected,
                      {{"key", record.key},
--- a/Services/Gateway/main.cc
+++ b/Services/Gateway/main.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "Gateway/gateway.h"
+#include "LibAsyncHttp/event_loop.h"
 #include "LibCore/stop_signal.h"
 #include "LibEvents/event_log.h"
 #include "LibSettings/program_start.h"
@@ -57,7 +58,7 @@
       {{"program", "crocus-gateway"},
        {"http_port", settings->host.caller_address},
        {"internal_port", std::to_string(settings->host.peer_port)}});
-  loop.run();
+  crocus::RunEventLoop(loop);
   crocus::LogEvent(Event::kProgramStopped,
                    {{"program", "crocus-gateway"}, {"reason", "signal"}});
   return static_cast<int>(crocus::ExitCode::kSuccess);
