--- a/Libraries/LibServing/report_plan.cc
+++ b/Libraries/LibServing/report_plan.cc
@@ -14,6 +14,7 @@
   }
   const auto [found, is_new] = this->peers.try_emplace(
       address, Peer{.hash = HashBytes(address), .last_heard = now});
+  this->addresses_by_hash[found->second.hash] = address;
   if (!zone.empty()) {
     found->second.zone = zone;
   }
@@ -33,10 +34,9 @@
 }
 
 void ReportPlan::OnMember(std::uint64_t address_hash, TimePoint now) {
-  for (auto& [address, peer] : this->peers) {
-    if (peer.hash == address_hash) {
-      peer.last_heard = now;
-    }
+  if (const auto found = this->addresses_by_hash.find(address_hash);
+      found != this->addresses_by_hash.end()) {
+    this->OnReport(found->second, now);
   }
 }
 
--- a/Libraries/LibServing/report_plan.h
+++ b/Libraries/LibServing/report_plan.h
@@ -98,6 +98,8 @@
   const ReportPlanOptions options;
   /// By their addresses.
   std::map<std::string, Peer> peers;
+  /// Zone reports name hosts by the hashes of their addresses.
+  std::map<std::uint64_t, std::string> addresses_by_hash;
 };
 
 }  // namespace crocus
