Revert the admission by the likely first token

Change: Admit compares the expected wait with the target again; batch runs still do not count as a queue.

--- a/Libraries/LibServing/attempt_policy.cc
+++ b/Libraries/LibServing/attempt_policy.cc
@@ -13,10 +13,6 @@
 /// queue that caused the refusal still exists.
 constexpr Duration kMinimumRetryAfter = std::chrono::milliseconds(250);
 
-/// Deviations by which the wait may exceed its mean without missing the target:
-/// 95 in 100 requests have to meet it, and other hosts send to the replica too.
-constexpr int kWaitDeviations = 2;
-
 }  // namespace
 
 std::string_view ToString(NextStep step) {
@@ -54,19 +50,13 @@
 
 AdmissionDecision Admit(const PlacementChoice& choice,
                         Duration latency_target) {
-  // An endpoint that misses the target without any queue still serves a queue
-  // as long as the target.
-  const Duration expected =
-      choice.expected_wait + kWaitDeviations * choice.wait_deviation +
-      (choice.response_time < latency_target ? choice.response_time
-                                             : Duration::zero());
   if (latency_target == Duration::zero() ||
-      choice.expected_wait == Duration::zero() || expected <= latency_target) {
+      choice.expected_wait <= latency_target) {
     return {};
   }
-  return {
-      .is_admitted = false,
-      .retry_after = std::max(kMinimumRetryAfter, expected - latency_target)};
+  return {.is_admitted = false,
+          .retry_after = std::max(kMinimumRetryAfter,
+                                  choice.expected_wait - latency_target)};
 }
 
 }  // namespace crocus
--- a/Libraries/LibServing/attempt_policy.h
+++ b/Libraries/LibServing/attempt_policy.h
@@ -56,13 +56,11 @@
   bool operator==(const AdmissionDecision&) const = default;
 };
 
-/// Refuses a request at once if its response is not likely to begin within
-/// `latency_target`: after the wait for a slot, with an allowance for its
-/// deviation, and the time from the start to the first token. Engines admit
-/// requests in order of arrival, so a request that misses its target also
-/// delays those behind it. This answers bursts above the capacity of the
-/// endpoint: the slots stay busy with a short queue, and what is in excess is
-/// refused before it waits. A target of zero admits every request.
+/// Refuses a request at once if its replica is expected to start it only after
+/// `latency_target`. Engines admit requests in order of arrival, so a request
+/// that misses its target also delays those behind it. This limits the queues
+/// in bursts above the capacity of the endpoint. A target of zero admits every
+/// request.
 AdmissionDecision Admit(const PlacementChoice& choice, Duration latency_target);
 
 }  // namespace crocus
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -1,7 +1,6 @@
 #include "LibServing/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numeric>
 
 #include "LibServing/hash_point.h"
@@ -97,11 +96,6 @@
     const std::set<std::string>& tried,
     TimePoint now) {
   const Duration service_time = this->MeanServiceTime(endpoint);
-  const auto mean_response = this->mean_response_seconds.find(endpoint);
-  const Duration response_time =
-      mean_response == this->mean_response_seconds.end()
-          ? Duration::zero()
-          : FromSeconds(mean_response->second);
   std::vector<PlacementChoice> choices;
   std::vector<SpreadTarget> targets;
   double peer_requests = 0;
@@ -117,12 +111,7 @@
          .expected_wait =
              position.needs_preemption()
                  ? kPreemptionWait
-                 : FromSeconds(seconds_per_request * position.requests_ahead),
-         // Requests end independently of each other, so the variance grows with
-         // their number.
-         .wait_deviation = FromSeconds(seconds_per_request *
-                                       std::sqrt(position.requests_ahead)),
-         .response_time = response_time});
+                 : FromSeconds(seconds_per_request * position.requests_ahead)});
     targets.push_back(
         {.network_cost = ToSeconds(this->NetworkCost(*replica)),
          .spare_slots = std::int64_t{replica->slots} - load.online,
@@ -183,12 +172,6 @@
   entry->second += kServiceTimeSmoothing * (ToSeconds(time) - entry->second);
 }
 
-void Placement::OnPromptResponse(const std::string& endpoint, Duration time) {
-  const auto [entry, is_new] =
-      this->mean_response_seconds.try_emplace(endpoint, ToSeconds(time));
-  entry->second += kServiceTimeSmoothing * (ToSeconds(time) - entry->second);
-}
-
 Duration Placement::MeanServiceTime(const std::string& endpoint) const {
   const auto found = this->mean_service_seconds.find(endpoint);
   return FromSeconds(found == this->mean_service_seconds.end()
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -37,10 +37,6 @@
   std::uint32_t slots = 1;
   /// Time until the replica is expected to start the request.
   Duration expected_wait{};
-  /// Standard deviation of that time.
-  Duration wait_deviation{};
-  /// Time from the start until its response is expected to begin.
-  Duration response_time{};
 };
 
 /// Chooses replicas for requests. Not thread-safe.
@@ -76,11 +72,6 @@
   /// response.
   void OnServed(const std::string& endpoint, Duration time);
 
-  /// Updates the mean response time of the endpoint with the time from the
-  /// start of an attempt at a replica with free slots to the begin of its
-  /// response.
-  void OnPromptResponse(const std::string& endpoint, Duration time);
-
   /// Moving average of the times that OnServed received, which estimates the
   /// time for which a request of the endpoint holds a slot.
   Duration MeanServiceTime(const std::string& endpoint) const;
@@ -99,7 +90,6 @@
   const ReplicaLoads& loads;
   Random random;
   std::map<std::string, double> mean_service_seconds;
-  std::map<std::string, double> mean_response_seconds;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -142,7 +142,9 @@
   if (!this->is_stream() || !this->is_usable) {
     return;
   }
-  this->NoteFirstToken();
+  if (!this->time_to_first_token) {
+    this->time_to_first_token = BootTimeNow() - this->arrival;
+  }
   if (!this->has_response_begun) {
     this->has_response_begun = true;
     this->options.session->StartResponse(response.status, response.reason,
@@ -151,18 +153,6 @@
   }
 }
 
-void ForwardedRequest::NoteFirstToken() {
-  if (this->time_to_first_token) {
-    return;
-  }
-  const TimePoint now = BootTimeNow();
-  this->time_to_first_token = now - this->arrival;
-  if (this->choice && this->choice->expected_wait == Duration::zero()) {
-    this->context.placement.OnPromptResponse(this->options.endpoint,
-                                             now - this->attempt->started());
-  }
-}
-
 void ForwardedRequest::OnBody(std::string_view bytes) {
   if (this->is_usable && this->is_stream()) {
     this->ForwardEvents(bytes);
@@ -251,7 +241,9 @@
                                              " to a resumed stream");
     return;
   } else {
-    this->NoteFirstToken();
+    if (!this->time_to_first_token) {
+      this->time_to_first_token = BootTimeNow() - this->arrival;
+    }
     this->options.session->StartResponse(this->head.status, this->head.reason,
                                          this->head.fields.EndToEnd(),
                                          this->buffered_body.size());
--- a/Services/Gateway/forwarded_request.h
+++ b/Services/Gateway/forwarded_request.h
@@ -40,8 +40,6 @@
   void OnHead(const ResponseHead& head,
               const ReplicaResponseMetadata& response_metadata);
   void OnBody(std::string_view bytes);
-  /// Records the time to the first token, unless it is recorded already.
-  void NoteFirstToken();
   /// Collects bytes of a response that is passed on as a whole.
   void CollectBody(std::string_view bytes);
   void ClearCollectedBody();
