--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -120,9 +120,8 @@
   CHECK_TRUE(decision.retry_after >= std::chrono::milliseconds(250));
 }
 
-// Guards against refusing online requests while batch runs occupy slots: at the
-// begin of a peak, 4 in 100 were refused beside batch work that could be
-// stopped.
+// Guards against refusing online requests while batch runs occupy slots, which
+// can be stopped for them.
 TEST(Placement_ThreeZones, RequestIsNotRefusedBecauseOfBatchWork) {
   constexpr Duration kTarget = std::chrono::milliseconds(300);
   for (const std::string replica : {"z1", "z2", "z3"}) {
