Log how the body of a response ended

Change: it has the framing of the last response, the bytes received and those after the last complete event. No change of behaviour. Measured: TestLibAsyncHttp passes with the new test of the framing.

--- a/Libraries/LibAsyncHttp/http_head.cc
+++ b/Libraries/LibAsyncHttp/http_head.cc
@@ -86,6 +86,18 @@
   return kept;
 }
 
+std::string_view ToString(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::kLength:
+      return "length";
+    case BodyFraming::kChunked:
+      return "chunked";
+    case BodyFraming::kConnectionClose:
+      return "connection_close";
+  }
+  return "length";
+}
+
 std::string_view RequestHead::path() const {
   const std::string_view path_and_query = this->target;
   return path_and_query.substr(0, path_and_query.find('?'));
--- a/Libraries/LibAsyncHttp/http_head.h
+++ b/Libraries/LibAsyncHttp/http_head.h
@@ -70,6 +70,16 @@
   std::string body;
 };
 
+/// How the end of a response body is told.
+enum class BodyFraming {
+  kLength,
+  kChunked,
+  /// The body ends with its connection.
+  kConnectionClose,
+};
+
+std::string_view ToString(BodyFraming framing);
+
 struct ResponseHead {
   std::uint32_t status = 0;
   /// The reason phrase.
@@ -78,6 +88,7 @@
   bool keep_alive = true;
   /// Missing for a chunked body and for one that ends with its connection.
   std::optional<std::uint64_t> content_length;
+  BodyFraming framing = BodyFraming::kLength;
 };
 
 }  // namespace crocus
--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -45,6 +45,9 @@
   if (const auto length = this->content_length()) {
     this->collected.content_length = *length;
   }
+  this->collected.framing = this->chunked()    ? BodyFraming::kChunked
+                            : this->need_eof() ? BodyFraming::kConnectionClose
+                                               : BodyFraming::kLength;
 }
 
 void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t>&,
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -105,6 +105,7 @@
   this->head = {};
   this->ClearCollectedBody();
   this->event_parser = {};
+  this->received_bytes = 0;
   this->is_usable = false;
   const auto self = this->shared_from_this();
   this->attempt = std::make_shared<ReplicaAttempt>(
@@ -154,6 +155,7 @@
 }
 
 void ForwardedRequest::OnBody(std::string_view bytes) {
+  this->received_bytes += bytes.size();
   if (this->is_usable && this->is_stream()) {
     this->ForwardEvents(bytes);
   } else {
@@ -378,7 +380,13 @@
                              ? MillisecondsText(*this->time_to_first_token)
                              : ""},
             {"total_ms", MillisecondsText(total)},
-            {"config", std::to_string(this->options.config->version)}});
+            {"config", std::to_string(this->options.config->version)},
+            {"framing", this->head.status == 0
+                            ? ""
+                            : std::string(ToString(this->head.framing))},
+            {"received_bytes", std::to_string(this->received_bytes)},
+            {"partial_event_bytes",
+             std::to_string(this->event_parser.rest().size())}});
 }
 
 }  // namespace crocus
--- a/Services/Gateway/forwarded_request.h
+++ b/Services/Gateway/forwarded_request.h
@@ -81,6 +81,8 @@
   /// True if that response is a success and signed by the replica.
   bool is_usable = false;
   EventStreamParser event_parser;
+  /// Body bytes of that response.
+  std::uint64_t received_bytes = 0;
   /// Id of the last event that the caller has.
   std::optional<std::uint64_t> last_event;
   bool has_response_begun = false;
--- a/Tests/LibAsyncHttp/http_head_test.cc
+++ b/Tests/LibAsyncHttp/http_head_test.cc
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
 #include "LibAsyncHttp/http_serialization.h"
@@ -10,6 +11,19 @@
 
 namespace crocus {
 
+namespace {
+
+BodyFraming FramingOf(const std::string& fields) {
+  const std::string text = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+  ResponseParser parser;
+  boost::beast::error_code error;
+  parser.put(boost::asio::buffer(text), error);
+  CHECK_TRUE(parser.is_header_done());
+  return parser.head().framing;
+}
+
+}  // namespace
+
 TEST_GROUP(RequestHead_WithQuery){};
 
 // Guards against including the query in the path that routes are matched by.
@@ -78,4 +92,15 @@
   CHECK_TRUE(error == boost::beast::http::error::body_limit);
 }
 
+TEST_GROUP(ResponseParser_AnyFraming){};
+
+// Guards against a log that calls a body complete by its length although only
+// the end of its connection ended it.
+TEST(ResponseParser_AnyFraming, HeadTellsHowItsBodyEnds) {
+  CHECK_TRUE(FramingOf("") == BodyFraming::kConnectionClose);
+  CHECK_TRUE(FramingOf("Content-Length: 5\r\n") == BodyFraming::kLength);
+  CHECK_TRUE(FramingOf("Transfer-Encoding: chunked\r\n") ==
+             BodyFraming::kChunked);
+}
+
 }  // namespace crocus
