Show that a truncated stream without framing looks complete

Change: the replica stand-in ends streams with their connection, cuts them inside an event with an orderly close, or ends them before the first event; the soak does so too. Four tests of the gateway.

--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -153,14 +153,15 @@
                                   HeaderFields fields,
                                   std::optional<std::uint64_t> content_length) {
   this->has_body = StatusHasBody(status) && !this->is_head_request;
-  this->is_chunked = StatusHasBody(status) && !content_length;
+  this->is_chunked = StatusHasBody(status) && !content_length &&
+                     !this->ends_body_with_connection;
   if (content_length && StatusHasBody(status)) {
     fields.Set("Content-Length", std::to_string(*content_length));
   } else if (this->is_chunked) {
     fields.Set("Transfer-Encoding", "chunked");
   }
   if (this->closes_after_response || this->closes_when_idle ||
-      !this->request_keeps_alive) {
+      this->ends_body_with_connection || !this->request_keeps_alive) {
     this->request_keeps_alive = false;
     fields.Set("Connection", "close");
   }
--- a/Libraries/LibAsyncHttp/server_session.h
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -75,6 +75,9 @@
                      HeaderFields fields,
                      std::optional<std::uint64_t> content_length);
   void SendBody(std::string_view bytes);
+  /// Makes a body without a length end with the connection instead of being
+  /// chunked.
+  void EndBodyWithConnection() { this->ends_body_with_connection = true; }
   /// Ends the response as complete.
   void FinishResponse();
   /// Closes the connection, so that the caller detects that a response in
@@ -126,6 +129,7 @@
   bool has_body = true;
   bool request_keeps_alive = true;
   bool closes_after_response = false;
+  bool ends_body_with_connection = false;
   bool closes_after_write = false;
   bool closes_when_idle = false;
   bool has_received_request = false;
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -80,6 +80,40 @@
   CHECK_EQUAL(1U, this->fleet.RunsOf("s2"));
 }
 
+// Guards against a stream whose replica crashed and that looks complete,
+// because the end of its connection is taken for the end of the stream.
+TEST(Gateway_TwoReplicas, UnframedStreamCutInsideAnEventDoesNotLookComplete) {
+  this->SetFaults({.broken_streams = 1, .unframed_streams = 1});
+  CHECK_FALSE(this->Send("stream", "s3").has_value());
+  CHECK_EQUAL(1U, this->fleet.RunsOf("s3"));
+}
+
+// Guards against an empty response of a replica that crashed before the first
+// event.
+TEST(Gateway_TwoReplicas, UnframedStreamWithoutEventsDoesNotLookComplete) {
+  this->SetFaults({.empty_streams = 1});
+  CHECK_FALSE(this->Send("stream", "s4").has_value());
+}
+
+// Guards against the loss of sound streams that end with their connection.
+TEST(Gateway_TwoReplicas, CompleteUnframedStreamIsForwardedUnchanged) {
+  this->SetFaults({.unframed_streams = 1});
+  const auto reply = this->Send("stream", "s5");
+  CHECK_EQUAL(kOk, StatusOf(reply));
+  STRCMP_EQUAL(ExpectedStream("s5").c_str(), reply->body.c_str());
+}
+
+// Guards against ending a resumable stream where its first replica crashed.
+TEST(Gateway_TwoReplicas, UnframedStreamCutInsideAnEventIsResumed) {
+  this->first->set_faults({.broken_streams = 1, .unframed_streams = 1});
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "u" + std::to_string(i);
+    const auto reply = this->Send("resumable", id);
+    CHECK_EQUAL(kOk, StatusOf(reply));
+    STRCMP_EQUAL(ExpectedStream(id).c_str(), reply->body.c_str());
+  }
+}
+
 // Guards against missing or duplicate events when a stream is resumed at
 // another replica.
 TEST(Gateway_TwoReplicas, BrokenResumableStreamResumesWithoutGap) {
--- a/Tests/PlatformStandin/replica_standin.cc
+++ b/Tests/PlatformStandin/replica_standin.cc
@@ -32,6 +32,8 @@
   bool is_ended = false;
   /// The connection is closed in the middle of the stream.
   bool is_truncated = false;
+  /// The end of the connection is the only end of the stream.
+  bool is_unframed = false;
 };
 
 std::string StandinEvent(const std::string& request, std::uint64_t index) {
@@ -149,8 +151,19 @@
     return;
   }
   run->is_truncated = this->random.Chance(this->faults.broken_streams);
+  const bool is_empty = this->random.Chance(this->faults.empty_streams);
+  run->is_unframed =
+      is_empty || this->random.Chance(this->faults.unframed_streams);
+  if (run->is_unframed) {
+    run->session->EndBodyWithConnection();
+  }
   fields.Add("Content-Type", "text/event-stream");
   run->session->StartResponse(200, "OK", fields, std::nullopt);
+  if (is_empty) {
+    run->session->FinishResponse();
+    this->End(run);
+    return;
+  }
   this->SendEvent(run);
 }
 
@@ -167,7 +180,11 @@
   if (run->is_truncated && run->next_event > count / 2) {
     // Closes the connection in the middle of an event.
     run->session->SendBody("id: " + std::to_string(run->next_event) + "\nda");
-    run->session->Abort();
+    if (run->is_unframed) {
+      run->session->FinishResponse();
+    } else {
+      run->session->Abort();
+    }
     this->End(run);
     return;
   }
--- a/Tests/PlatformStandin/replica_standin.h
+++ b/Tests/PlatformStandin/replica_standin.h
@@ -21,6 +21,11 @@
 struct ReplicaFaults {
   /// Streams whose connection is closed in the middle of an event.
   double broken_streams = 0;
+  /// Streams that end before their first event, with their connection.
+  double empty_streams = 0;
+  /// Streams with neither a length nor chunks, whose connection is closed in
+  /// order, also where they are broken.
+  double unframed_streams = 0;
   /// Requests that run and whose connection is closed without a response.
   double lost_responses = 0;
   /// Responses of known length that are sent a second time.
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -405,6 +405,10 @@
   switch (this->random.Below(7)) {
     case 0:
       faults.broken_streams = 0.5;
+      if (this->random.Chance(0.5)) {
+        faults.unframed_streams = 0.5;
+        faults.empty_streams = 0.1;
+      }
       break;
     case 1:
       faults.lost_responses = 0.5;
