Treat a stream that ends inside an event as broken off

Cause: a response with neither a length nor chunks ends with its connection, and ClientConnection reports an orderly close as a complete response. The gateway forwarded the bytes of the unfinished event and the last chunk. Batch runs had the same fault in another form: a run resumed at a replica that crashed before its first event completed the item with the text so far. Change: EventStreamParser says whether a stream that ended is complete; ReplicaAttempt asks it for every response, so that online requests are broken off or resumed, batch items are resumed, and the replica's failure is counted.

--- a/Libraries/LibServing/event_stream_parser.cc
+++ b/Libraries/LibServing/event_stream_parser.cc
@@ -75,7 +75,15 @@
     start += *length;
   }
   this->pending.erase(0, start);
+  this->has_event = this->has_event || !events.empty();
   return events;
 }
 
+bool EventStreamParser::IsCompleteAtEnd(bool ends_with_connection) const {
+  if (this->pending.find_first_not_of("\r\n") != std::string::npos) {
+    return false;
+  }
+  return this->has_event || !ends_with_connection;
+}
+
 }  // namespace crocus
--- a/Libraries/LibServing/event_stream_parser.h
+++ b/Libraries/LibServing/event_stream_parser.h
@@ -32,6 +32,12 @@
   /// and its further bytes must not be fed.
   bool is_overlong() const { return this->pending.size() > kMaximumEventBytes; }
 
+  /// Whether a stream that has ended here has all its events. A stream cut
+  /// inside an event is incomplete whatever its framing says. With
+  /// `ends_with_connection`, so is one without any event: its server may have
+  /// crashed after the head of the response.
+  bool IsCompleteAtEnd(bool ends_with_connection) const;
+
   /// Bytes after the last complete event.
   const std::string& rest() const { return this->pending; }
 
@@ -40,6 +46,7 @@
   static constexpr std::size_t kMaximumEventBytes = 128u << 10;
 
   std::string pending;
+  bool has_event = false;
 };
 
 }  // namespace crocus
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -316,6 +316,12 @@
                 run.last_event_received = BootTimeNow();
               },
           .on_body = [this, item](auto bytes) { this->OnBody(item, bytes); },
+          .is_body_complete =
+              [this, item](bool ends_with_connection) {
+                const Run& run = this->runs.at(item);
+                return !run.is_usable ||
+                       run.event_parser.IsCompleteAtEnd(ends_with_connection);
+              },
           .on_end = [this, item](const auto& end) { this->OnEnd(item, end); }});
   this->runs[item] = Run{.attempt = attempt, .last_event_received = now};
   attempt->Start();
@@ -403,8 +409,7 @@
   progress.run_time += now - run.attempt->started();
   const bool is_complete =
       end.end == ExchangeEnd::kComplete && end.verdict == Verdict::kRan;
-  if (is_complete && run.is_usable && run.is_in_order &&
-      run.event_parser.rest().empty() && progress.events > 0) {
+  if (is_complete && run.is_usable && run.is_in_order && progress.events > 0) {
     this->queue.OnItemDone(progress.run_time, progress.events);
     this->FinishItem(item, true);
     return;
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -127,6 +127,11 @@
                 self->OnHead(head, response_metadata);
               },
           .on_body = [self](auto bytes) { self->OnBody(bytes); },
+          .is_body_complete =
+              [self](bool ends_with_connection) {
+                return !self->is_usable || !self->is_stream() ||
+                       self->event_parser.IsCompleteAtEnd(ends_with_connection);
+              },
           .on_end = [self](const auto& end) { self->OnEnd(end); }});
   this->attempt->Start();
 }
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -61,6 +61,7 @@
         "replica returned status " + std::to_string(head.status);
     return HeadDecision::kAccept;
   }
+  this->ends_with_connection = head.framing == BodyFraming::kConnectionClose;
   this->options.on_head(head, response_metadata);
   return HeadDecision::kAccept;
 }
@@ -73,15 +74,21 @@
   this->Release();
   const TimePoint now = BootTimeNow();
   AttemptEnd result{.end = end, .reason = reason};
+  if (end == ExchangeEnd::kComplete && this->refusal_reason.empty() &&
+      this->options.is_body_complete &&
+      !this->options.is_body_complete(this->ends_with_connection)) {
+    result.end = ExchangeEnd::kBrokenInBody;
+    result.reason = "response ended before its body was complete";
+  }
   if (!this->refusal_reason.empty()) {
     result.verdict = Verdict::kNotRun;
     result.reason = this->refusal_reason;
-  } else if (end == ExchangeEnd::kNotConnected) {
+  } else if (result.end == ExchangeEnd::kNotConnected) {
     result.verdict = Verdict::kNotRun;
     this->context.loads.OnUnreachable(this->options.replica, now);
     LogEvent(Event::kReplicaPaused,
              {{"replica", this->options.replica}, {"reason", reason}});
-  } else if (end != ExchangeEnd::kComplete) {
+  } else if (result.end != ExchangeEnd::kComplete) {
     result.verdict = Verdict::kMayHaveRun;
     this->context.loads.OnFailure(this->options.replica, now);
   } else {
@@ -90,6 +97,7 @@
   const auto on_end = std::move(this->options.on_end);
   this->options.on_head = nullptr;
   this->options.on_body = nullptr;
+  this->options.is_body_complete = nullptr;
   on_end(result);
 }
 
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -35,6 +35,10 @@
   std::function<void(const ResponseHead&, const ReplicaResponseMetadata&)>
       on_head;
   std::function<void(std::string_view)> on_body;
+  /// Optional. Whether the body that has ended is complete, asked if its
+  /// framing does not say otherwise. The argument is true if the body ended
+  /// with its connection.
+  std::function<bool(bool ends_with_connection)> is_body_complete;
   /// Called once, unless the attempt is cancelled.
   std::function<void(const AttemptEnd&)> on_end;
 };
@@ -65,6 +69,7 @@
   AttemptOptions options;
   std::shared_ptr<ClientConnection> connection;
   TimePoint start_time{};
+  bool ends_with_connection = false;
   /// Set if the response declares that the request was not run; else empty.
   std::string refusal_reason;
   /// True while `loads` counts this attempt.
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -104,6 +104,23 @@
       [this] { return this->fleet.RunsOf("behind-item") > 0; }));
 }
 
+// Guards against a completed item whose text ends where its first replica
+// crashed, because a second one crashed before its first event.
+TEST(GatewayBatch_TwoGateways, EmptyUnframedStreamDoesNotCompleteAResumedItem) {
+  this->fleet.replicas[0]->set_faults(
+      {.broken_streams = 1, .unframed_streams = 1});
+  this->fleet.replicas[1]->set_faults({.empty_streams = 1});
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "cut", MakeItemIds("c", 6))));
+  this->fleet.RunUntil([this] { return this->fleet.RunsOf("c5") > 2; },
+                       std::chrono::seconds(5));
+  for (const auto& replica : this->fleet.replicas) {
+    replica->set_faults({});
+  }
+  CHECK_TRUE(this->WaitForResults("b", "cut", 6));
+  this->CheckComplete(this->fleet.ReadResults("b", "cut"), 6);
+}
+
 // Guards against accepting a job a second time when its caller sends it again.
 TEST(GatewayBatch_TwoGateways, RepeatedSubmissionIsAcceptedOnce) {
   const auto items = MakeItemIds("y", 3);
--- a/Tests/LibServing/event_stream_parser_test.cc
+++ b/Tests/LibServing/event_stream_parser_test.cc
@@ -43,6 +43,34 @@
   STRCMP_EQUAL("id: 5\nda", parser.rest().c_str());
 }
 
+// Guards against a stream that looks complete although its server crashed.
+TEST(EventStreamParser_AnyFragments, StreamCutInsideAnEventIsNotComplete) {
+  for (const std::string rest :
+       {"i", "id: 5\nda", "data: a\n", "data: a\r\n\r"}) {
+    EventStreamParser parser;
+    parser.Feed("id: 4\ndata: a\n\n" + rest);
+    CHECK_FALSE(parser.IsCompleteAtEnd(true));
+    CHECK_FALSE(parser.IsCompleteAtEnd(false));
+  }
+}
+
+// Guards against breaking off sound streams, with blank lines at their end too.
+TEST(EventStreamParser_AnyFragments, StreamThatEndsAfterAnEventIsComplete) {
+  for (const std::string rest : {"", "\n", "\r\n"}) {
+    EventStreamParser parser;
+    parser.Feed("id: 4\ndata: a\n\n" + rest);
+    CHECK_TRUE(parser.IsCompleteAtEnd(true));
+    CHECK_TRUE(parser.IsCompleteAtEnd(false));
+  }
+}
+
+// Guards against taking a crash before the first event for a complete stream.
+TEST(EventStreamParser_AnyFragments, EmptyStreamIsCompleteByItsFramingOnly) {
+  const EventStreamParser parser;
+  CHECK_FALSE(parser.IsCompleteAtEnd(true));
+  CHECK_TRUE(parser.IsCompleteAtEnd(false));
+}
+
 // Guards against treating a leading line with another field as data.
 TEST(EventStreamParser_AnyFragments, OtherLinesAreKeptInTheBytesOnly) {
   EventStreamParser parser;
