--- a/Libraries/LibServing/request_metadata.h
+++ b/Libraries/LibServing/request_metadata.h
@@ -36,6 +36,14 @@
   bool operator==(const RequestMetadata&) const = default;
 };
 
+/// Ids of the parts that several requests may share: all but the last. Callers
+/// choose them, so only the first `kMaximumSharedParts` are returned, and
+/// longer ids than `kMaximumPartIdBytes` are replaced by their hash.
+std::vector<std::string> SharedPartIds(const std::vector<PromptPart>& parts);
+
+inline constexpr std::size_t kMaximumSharedParts = 32;
+inline constexpr std::size_t kMaximumPartIdBytes = 32;
+
 /// The values of the headers with which a replica describes its response.
 struct ReplicaResponseMetadata {
   /// The replica states that it did not run the request.
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -323,7 +323,11 @@
                        run.event_parser.IsCompleteAtEnd(ends_with_connection);
               },
           .on_end = [this, item](const auto& end) { this->OnEnd(item, end); }});
-  this->runs[item] = Run{.attempt = attempt, .last_event_received = now};
+  this->runs[item] = Run{
+      .attempt = attempt,
+      .prompt_parts =
+          platform::DecodeRequestMetadata(HeaderFields(fields)).prompt_parts,
+      .last_event_received = now};
   attempt->Start();
 }
 
@@ -366,6 +370,7 @@
 
 void BatchRunner::OnBody(const ItemReference& item, std::string_view bytes) {
   Run& run = this->runs.at(item);
+  run.received_bytes += bytes.size();
   if (!run.is_usable) {
     return;
   }
@@ -424,7 +429,9 @@
                       : end.reason},
        {"verdict", std::string(ToString(end.verdict))},
        {"next", "resume"},
-       {"attempt_ms", MillisecondsText(now - run.attempt->started())}});
+       {"attempt_ms", MillisecondsText(now - run.attempt->started())},
+       {"parts", PartsText(run.prompt_parts)},
+       {"received_bytes", std::to_string(run.received_bytes)}});
   progress.not_before =
       now +
       (end.verdict == Verdict::kNotRun ? kRefusedBackoff : kFailedBackoff);
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -71,7 +71,9 @@
  private:
   struct Run {
     std::shared_ptr<ReplicaAttempt> attempt;
+    std::vector<PromptPart> prompt_parts;
     EventStreamParser event_parser;
+    std::uint64_t received_bytes = 0;
     std::uint32_t status = 0;
     bool is_usable = false;
     /// False after an event that has no id or no data, or whose id does not
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -277,7 +277,9 @@
        {"verdict", std::string(ToString(end.verdict))},
        {"next", std::string(ToString(step))},
        {"attempt_ms",
-        MillisecondsText(BootTimeNow() - this->attempt->started())}});
+        MillisecondsText(BootTimeNow() - this->attempt->started())},
+       {"parts", PartsText(this->metadata.prompt_parts)},
+       {"received_bytes", std::to_string(this->received_bytes)}});
   switch (step) {
     case NextStep::kRetry:
     case NextStep::kResume:
--- a/Services/Gateway/forwarding_context.cc
+++ b/Services/Gateway/forwarding_context.cc
@@ -7,6 +7,18 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string PartsText(const std::vector<PromptPart>& parts) {
+  constexpr std::size_t kMaximumLoggedBytes = 256;
+  std::string text;
+  for (const auto& id : SharedPartIds(parts)) {
+    if (text.size() + id.size() > kMaximumLoggedBytes) {
+      return text + ",...";
+    }
+    text += (text.empty() ? "" : ",") + id;
+  }
+  return text;
+}
+
 std::string LoadText(const PlacementChoice& choice) {
   return std::to_string(choice.load.online) + "+" +
          std::to_string(choice.load.batch) + "/" + std::to_string(choice.slots);
--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -11,6 +12,7 @@
 #include "LibServing/placement.h"
 #include "LibServing/replica_directory.h"
 #include "LibServing/replica_loads.h"
+#include "LibServing/request_metadata.h"
 
 namespace crocus {
 
@@ -36,6 +38,9 @@
 /// Milliseconds as text, for logs.
 std::string MillisecondsText(Duration duration);
 
+/// Ids of the parts that other requests may share, separated by commas.
+std::string PartsText(const std::vector<PromptPart>& parts);
+
 /// Load of the chosen replica as "online+batch/slots", for logs.
 std::string LoadText(const PlacementChoice& choice);
 
