Show that a part of prompts crashes one replica after the other

Change: the replica stand-in crashes on a part of the prompt and starts again at its port; two tests with three gateways and six replicas. Programs under test no longer inherit the stand-ins' sockets, which kept crashed ports in use.

--- /dev/null
+++ b/Tests/Gateway/crashing_part_test.cc
@@ -0,0 +1,116 @@
+#include <CppUTest/TestHarness.h>
+
+#include "LibCore/time.h"
+#include "PlatformStandin/gateway_fleet.h"
+#include "platform/names.h"
+
+namespace crocus {
+
+namespace {
+
+constexpr std::uint32_t kOk = 200;
+constexpr Duration kRequestInterval = std::chrono::milliseconds(100);
+/// The users' stable window: evidence from all gateways is in force after it.
+constexpr Duration kStableWindow = std::chrono::seconds(3);
+
+const std::string kCrashingPart = "dead01";
+
+}  // namespace
+
+TEST_GROUP(Gateway_CrashingPromptPart) {
+  GatewayFleet fleet;
+  std::uint32_t sent = 0;
+  std::uint32_t sound = 0;
+  std::uint32_t sound_served = 0;
+  std::uint32_t refused = 0;
+  std::uint32_t pending = 0;
+
+  void setup() override {
+    for (int i = 0; i < 6; ++i) {
+      this->fleet
+          .AddReplica("model", {.id = "i-" + std::to_string(i),
+                                .event_interval = std::chrono::milliseconds(2)})
+          .set_faults({.crashing_part = kCrashingPart});
+    }
+    for (const std::string name : {"a", "b", "c"}) {
+      this->fleet.StartGateway(name);
+    }
+    this->fleet.RunFor(std::chrono::milliseconds(500));
+  }
+
+  std::uint32_t Crashes() const {
+    std::uint32_t crashes = 0;
+    for (const auto& replica : this->fleet.replicas) {
+      crashes += replica->crashes();
+    }
+    return crashes;
+  }
+
+  /// Starts a request at the next gateway and does not wait for it.
+  void Start(const std::string& prefix, bool is_sound) {
+    const std::string id = "p" + std::to_string(++this->sent);
+    const std::string gateway(1, static_cast<char>('a' + this->sent % 3));
+    auto head = GatewayFleet::MakeRequestHead("stream", id);
+    head.fields.Add(std::string(platform::header::kPromptPrefix),
+                    prefix + ",5e55" + std::to_string(this->sent) + ":20");
+    ++this->pending;
+    Fetch(this->fleet.loop, this->fleet.pool,
+          {.pool_key = gateway,
+           .server = {boost::asio::ip::make_address("127.0.0.1"),
+                      this->fleet.CallerPort(gateway)},
+           .head = std::move(head),
+           .timeout = std::chrono::seconds(4)},
+          [this, id, is_sound](const auto& fetched) {
+            --this->pending;
+            const std::uint32_t status = fetched ? fetched->head.status : 0;
+            if (is_sound) {
+              ++this->sound;
+              this->sound_served +=
+                  status == kOk && fetched->body == ExpectedStream(id) ? 1 : 0;
+            } else {
+              this->refused += status == 503 ? 1 : 0;
+            }
+          });
+  }
+
+  /// Sends two sound requests with each one that crashes its replica. The
+  /// sound ones share the first part, or the first two.
+  void SendFor(Duration time) {
+    const TimePoint end = BootTimeNow() + time;
+    while (BootTimeNow() < end) {
+      this->Start("f1:200,c2:80", true);
+      this->Start("f1:200," + kCrashingPart.substr(0, 4) + "02:80", true);
+      this->Start("f1:200,c2:80," + kCrashingPart + ":40", false);
+      this->fleet.RunFor(kRequestInterval);
+    }
+  }
+};
+
+// Guards against requests that crash one replica after the other because they
+// share a part of their prompts.
+TEST(Gateway_CrashingPromptPart, FewRequestsReachReplicasAfterTheFifthCrash) {
+  while (this->Crashes() < 5) {
+    this->SendFor(kRequestInterval);
+  }
+  this->SendFor(kStableWindow);
+  const std::uint32_t crashes_before = this->Crashes();
+  this->refused = 0;
+  this->SendFor(std::chrono::seconds(4));
+  CHECK_TRUE(this->Crashes() - crashes_before <= 3);
+  CHECK_TRUE(this->refused > 30);
+}
+
+// Guards against refusing sound requests that share other parts with those that
+// crash replicas.
+TEST(Gateway_CrashingPromptPart, SoundRequestsWithTheOtherPartsAreServed) {
+  this->SendFor(kStableWindow * 2);
+  this->fleet.RunUntil([this] { return this->pending == 0; });
+  this->sound = 0;
+  this->sound_served = 0;
+  this->SendFor(std::chrono::seconds(2));
+  this->fleet.RunUntil([this] { return this->pending == 0; });
+  CHECK_TRUE(this->sound >= 20);
+  CHECK_TRUE(this->sound_served * 2 > this->sound);
+}
+
+}  // namespace crocus
--- a/Tests/PlatformStandin/replica_standin.cc
+++ b/Tests/PlatformStandin/replica_standin.cc
@@ -26,8 +26,11 @@
 
   std::shared_ptr<ServerSession> session;
   std::string id;
+  std::string prefix;
   boost::asio::steady_timer timer;
   std::uint64_t next_event = 0;
+  /// Crashes of the replica before the run. A later crash has ended it.
+  std::uint32_t epoch = 0;
   bool has_begun = false;
   bool is_ended = false;
   /// The connection is closed in the middle of the stream.
@@ -59,7 +62,8 @@
           [this](const auto& session, const auto& request) {
             this->Handle(session, request);
           }),
-      random(seed) {}
+      random(seed),
+      restart_timer(loop) {}
 
 void ReplicaStandin::Start() {
   VERIFY(
@@ -68,6 +72,13 @@
 
 void ReplicaStandin::Handle(const std::shared_ptr<ServerSession>& session,
                             const Request& request) {
+  if (this->is_down) {
+    session->Abort();
+    return;
+  }
+  std::erase_if(this->sessions,
+                [](const auto& weak) { return weak.expired(); });
+  this->sessions.push_back(session);
   const auto& fields = request.head.fields;
   const std::string id(fields.Find(header::kAttemptId).value_or(""));
   HeaderFields refusal;
@@ -84,6 +95,8 @@
   auto run = std::make_shared<Run>(this->loop);
   run->session = session;
   run->id = id;
+  run->epoch = this->crash_count;
+  run->prefix = fields.Find(header::kPromptPrefix).value_or("");
   if (const auto last = fields.Find(header::kLastEventId)) {
     run->next_event =
         std::strtoull(std::string(*last).c_str(), nullptr, 10) + 1;
@@ -150,6 +163,12 @@
     this->End(run);
     return;
   }
+  if (!this->faults.crashing_part.empty() &&
+      run->prefix.find(this->faults.crashing_part + ":") != std::string::npos) {
+    run->session->StartResponse(200, "OK", fields, std::nullopt);
+    this->Crash(this->faults.restart_time);
+    return;
+  }
   run->is_truncated = this->random.Chance(this->faults.broken_streams);
   const bool is_empty = this->random.Chance(this->faults.empty_streams);
   run->is_unframed =
@@ -168,7 +187,7 @@
 }
 
 void ReplicaStandin::SendEvent(const std::shared_ptr<Run>& run) {
-  if (run->is_ended) {
+  if (run->is_ended || run->epoch != this->crash_count) {
     return;
   }
   const std::uint64_t count = StandinEventCount(run->id);
@@ -200,7 +219,7 @@
 }
 
 void ReplicaStandin::End(const std::shared_ptr<Run>& run) {
-  if (!run->has_begun) {
+  if (!run->has_begun || run->epoch != this->crash_count) {
     return;
   }
   run->has_begun = false;
@@ -210,4 +229,30 @@
   this->StartQueuedRuns();
 }
 
+void ReplicaStandin::Crash(Duration restart_time) {
+  ++this->crash_count;
+  this->is_down = true;
+  this->restart_port = this->listener.port();
+  this->queued.clear();
+  for (const auto& weak : std::exchange(this->sessions, {})) {
+    if (const auto session = weak.lock()) {
+      session->Abort();
+    }
+  }
+  this->listener.StopAccepting();
+  this->running_count = 0;
+  this->restart_timer.expires_after(restart_time);
+  this->restart_timer.async_wait([this](const auto& error) {
+    if (!error) {
+      this->Restart();
+    }
+  });
+}
+
+void ReplicaStandin::Restart() {
+  VERIFY(this->listener.Listen(
+      {boost::asio::ip::make_address("127.0.0.1"), this->restart_port}));
+  this->is_down = false;
+}
+
 }  // namespace crocus
--- a/Tests/PlatformStandin/replica_standin.h
+++ b/Tests/PlatformStandin/replica_standin.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,10 @@
   double errors = 0;
   /// Successful responses without the replica's signature.
   double unsigned_responses = 0;
+  /// Requests with this part in their prompt crash the replica when it begins
+  /// to respond. It starts again after `restart_time`.
+  std::string crashing_part;
+  Duration restart_time = std::chrono::milliseconds(500);
   /// Requests are accepted and get no response.
   bool is_unresponsive = false;
 };
@@ -75,6 +80,11 @@
   }
   /// Number of requests that run now.
   std::uint32_t running() const { return this->running_count; }
+  std::uint32_t crashes() const { return this->crash_count; }
+
+  /// Ends the process that the stand-in stands for: all its connections are
+  /// closed, and it refuses new ones until it starts again.
+  void Crash(Duration restart_time);
 
  private:
   struct Run;
@@ -85,6 +95,7 @@
   void Begin(const std::shared_ptr<Run>& run);
   void SendEvent(const std::shared_ptr<Run>& run);
   void End(const std::shared_ptr<Run>& run);
+  void Restart();
 
   boost::asio::io_context& loop;
   const ReplicaStandinOptions options;
@@ -93,6 +104,11 @@
   ReplicaFaults faults;
   std::deque<std::shared_ptr<Run>> queued;
   std::uint32_t running_count = 0;
+  std::uint32_t crash_count = 0;
+  bool is_down = false;
+  std::uint16_t restart_port = 0;
+  boost::asio::steady_timer restart_timer;
+  std::vector<std::weak_ptr<ServerSession>> sessions;
   std::map<std::string, std::uint32_t> run_counts;
 };
 
--- a/Tests/Processes/process_fleet.cc
+++ b/Tests/Processes/process_fleet.cc
@@ -79,6 +79,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  // Sockets of the test's stand-ins must not stay open in the program.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t id = -1;
   const int error = posix_spawn(&id, pointers[0], &actions, nullptr,
                                 pointers.data(), environ);
