Refuse requests with parts that crash replicas

Cause: nothing connected a crash with what its requests held, so each new request with the part went to a replica that looked sound. Change: CrashEvidence, without network or clock, finds the parts; CrashWatch confirms crashes by a refused connection; gateways exchange the evidence beside their load reports; online requests are refused, batch items wait. Events 735 to 737, metrics, and /blocked-parts on the port for metrics, where an operator lifts a block. SharedPartIds bounds what callers choose.

--- a/Libraries/LibAsyncHttp/http_status.h
+++ b/Libraries/LibAsyncHttp/http_status.h
@@ -24,6 +24,10 @@
 inline constexpr std::uint32_t kGatewayTimeout = 504;
 inline constexpr std::uint32_t kStorageFull = 507;
 
+constexpr bool IsSuccess(std::uint32_t status) {
+  return status >= 200 && status < 300;
+}
+
 }  // namespace crocus::http_status
 
 #endif  // LIBASYNCHTTP_HTTP_STATUS_H_
--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -163,6 +163,12 @@
       return "group_join_failed";
     case Event::kUnexpectedError:
       return "unexpected_error";
+    case Event::kReplicaCrashed:
+      return "replica_crashed";
+    case Event::kPromptPartsBlocked:
+      return "prompt_parts_blocked";
+    case Event::kPromptPartsUnblocked:
+      return "prompt_parts_unblocked";
   }
   return "unknown";
 }
@@ -217,6 +223,7 @@
     case Event::kJobReadRefused:
     case Event::kPeerChanged:
     case Event::kSettingsReloaded:
+    case Event::kPromptPartsUnblocked:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
@@ -239,6 +246,8 @@
     case Event::kBatchDataReadFailed:
     case Event::kPeerReportRejected:
     case Event::kGroupJoinFailed:
+    case Event::kReplicaCrashed:
+    case Event::kPromptPartsBlocked:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -90,6 +90,9 @@
   kSettingsReloaded = 732,
   kGroupJoinFailed = 733,
   kUnexpectedError = 734,
+  kReplicaCrashed = 735,
+  kPromptPartsBlocked = 736,
+  kPromptPartsUnblocked = 737,
 };
 
 /// Returns the event's name in the catalogue, such as "program_started".
--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -42,6 +42,7 @@
   kFencingFloors = 31,
   kOutstandingReport = 32,
   kZoneReport = 33,
+  kCrashReport = 34,
 };
 
 /// True if this version defines the type.
@@ -69,6 +70,7 @@
     case MessageType::kFencingFloors:
     case MessageType::kOutstandingReport:
     case MessageType::kZoneReport:
+    case MessageType::kCrashReport:
       return true;
   }
   return false;
@@ -623,6 +625,62 @@
   }
 };
 
+/// Crash of a replica at which a request with the part ran.
+struct CrashSighting {
+  /// Hash of the replica's id.
+  std::uint64_t replica_hash{0};
+  /// Time since the crash when the report was sent.
+  std::int64_t age_ms{0};
+
+  bool operator==(const CrashSighting&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(replica_hash, age_ms);
+  }
+};
+
+/// What is known of a part of prompts that was in use when replicas crashed.
+struct PartEvidence {
+  /// Id of the part.
+  std::string part{};
+  /// Crashes since the last completed request.
+  std::vector<CrashSighting> crashes{};
+  /// Time since a request with the part was last completed; -1 if none is
+  /// known.
+  std::int64_t completed_age_ms{0};
+  /// Requests that were let through although the part is blocked.
+  std::uint32_t trials{0};
+  /// Time since the last of them; -1 if there was none.
+  std::int64_t trial_age_ms{0};
+
+  bool operator==(const PartEvidence&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(part, crashes, completed_age_ms, trials, trial_age_ms);
+  }
+};
+
+/// Sent between gateways over UDP with their load reports while crashes count
+/// against any part. Receivers add it to what they know.
+struct CrashReport {
+  static constexpr MessageType kType = MessageType::kCrashReport;
+
+  /// Zone of the sender.
+  std::string availability_zone{};
+  /// True if the receiver does not pass it on.
+  bool is_relayed{false};
+  std::vector<PartEvidence> parts{};
+
+  bool operator==(const CrashReport&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(availability_zone, is_relayed, parts);
+  }
+};
+
 }  // namespace crocus::messages
 
 #endif  // LIBMESSAGES_MESSAGES_H_
--- a/Libraries/LibServing/report_plan.cc
+++ b/Libraries/LibServing/report_plan.cc
@@ -125,4 +125,12 @@
   return mates;
 }
 
+std::size_t ReportPlan::RunningHosts(TimePoint now) const {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(this->peers.begin(), this->peers.end(),
+                               [this, now](const auto& entry) {
+                                 return this->IsRunning(entry.second, now);
+                               }));
+}
+
 }  // namespace crocus
--- a/Libraries/LibServing/report_plan.h
+++ b/Libraries/LibServing/report_plan.h
@@ -80,6 +80,9 @@
   std::vector<std::string> ZoneReportReceivers(std::uint64_t sequence,
                                                TimePoint now) const;
 
+  /// Number of running hosts, this one included.
+  std::size_t RunningHosts(TimePoint now) const;
+
   /// Running peers in this host's zone.
   std::vector<std::string> ZoneMates(TimePoint now) const;
 
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -34,6 +34,9 @@
 constexpr Duration kStoppedBackoff = std::chrono::milliseconds(300);
 /// Time before an item whose run has failed may run again.
 constexpr Duration kFailedBackoff = std::chrono::milliseconds(300);
+/// Time before an item is looked at again whose prompt has a part that crashes
+/// replicas. It waits for the end of the block, at most for its retention.
+constexpr Duration kBlockedBackoff = std::chrono::milliseconds(1000);
 /// Time before the body of an item is read again after a failed read.
 constexpr Duration kBodyReadBackoff = std::chrono::milliseconds(300);
 /// Time for which other hosts do not run an item whose result this host could
@@ -217,11 +220,29 @@
       }
       break;
     }
+    const auto parts = this->SharedPartsOf(item);
+    if (this->context.crash_evidence.Check(
+            parts, now, this->context.running_hosts(), this->context.draw())) {
+      progress.not_before = now + kBlockedBackoff;
+      continue;
+    }
     started.insert(choice->replica);
     this->StartItem(item, *route, *choice);
   }
 }
 
+std::vector<std::string> BatchRunner::SharedPartsOf(
+    const ItemReference& item) const {
+  std::vector<HeaderField> fields;
+  for (const auto& field :
+       this->job_table.Find(item.job)->items[item.item].spec.fields) {
+    fields.push_back({.name = field.name, .value = field.value});
+  }
+  return SharedPartIds(
+      platform::DecodeRequestMetadata(HeaderFields(std::move(fields)))
+          .prompt_parts);
+}
+
 void BatchRunner::PreemptLateRun(const RoutingConfig& routing_config,
                                  std::int64_t unix_milliseconds) {
   for (const auto& [item, run] : this->runs) {
@@ -304,6 +325,7 @@
           .address = address,
           .attempt_id = spec.spec.id,
           .work = WorkClass::kBatch,
+          .shared_parts = this->SharedPartsOf(item),
           .head = std::move(head),
           .body = progress.body.value_or(spec.body),
           .on_head =
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -88,6 +88,8 @@
   /// that can be finished in time.
   void PreemptLateRun(const RoutingConfig& routing_config,
                       std::int64_t unix_milliseconds);
+  /// Ids of the parts of the item's prompt that other requests may share.
+  std::vector<std::string> SharedPartsOf(const ItemReference& item) const;
   void StartItem(const ItemReference& item,
                  const Route& route,
                  const PlacementChoice& choice);
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -19,16 +19,16 @@
 /// registry.
 constexpr Duration kNoReplicaRetryAfter = std::chrono::milliseconds(500);
 
+/// Minimum time after which a caller should repeat a request whose prompt is
+/// blocked. An operator may lift the block before its next trial.
+constexpr Duration kBlockedRetryAfter = std::chrono::seconds(1);
+
 /// Size of a response that is collected before it is passed on, and of all such
 /// responses of this process. A replica in trouble may send bytes without end;
 /// the smallest hosts have 160 MB.
 constexpr std::size_t kMaximumCollectedBytes = 16u << 20;
 constexpr std::size_t kMaximumAllCollectedBytes = 48u << 20;
 
-bool IsSuccess(std::uint32_t status) {
-  return status >= 200 && status < 300;
-}
-
 }  // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardingContext& context,
@@ -96,6 +96,18 @@
       return;
     }
   }
+  if (const auto blocked = this->context.crash_evidence.Check(
+          SharedPartIds(this->metadata.prompt_parts), now,
+          this->context.running_hosts(), this->context.draw())) {
+    const std::string reason = "prompt part crashes replicas";
+    if (this->runs > 0 || this->has_response_begun) {
+      this->Fail(http_status::kBadGateway, reason);
+    } else {
+      this->Refuse(reason,
+                   std::max(kBlockedRetryAfter, blocked->next_trial - now));
+    }
+    return;
+  }
   this->Send(*chosen);
 }
 
@@ -115,6 +127,7 @@
           .address = replica->address,
           .attempt_id = this->metadata.attempt_id,
           .work = WorkClass::kOnline,
+          .shared_parts = SharedPartIds(this->metadata.prompt_parts),
           .head = platform::ForwardedHead(
               this->options.request.head,
               {.replica_id = chosen.replica,
@@ -140,7 +153,7 @@
     const ResponseHead& response,
     const ReplicaResponseMetadata& response_metadata) {
   this->head = response;
-  if (!IsSuccess(response.status)) {
+  if (!http_status::IsSuccess(response.status)) {
     return;
   }
   // A successful response that the replica has not signed is not used.
@@ -225,7 +238,8 @@
   }
   const bool is_complete =
       end.end == ExchangeEnd::kComplete && end.verdict != Verdict::kNotRun;
-  if (is_complete && (this->is_usable || !IsSuccess(this->head.status))) {
+  if (is_complete &&
+      (this->is_usable || !http_status::IsSuccess(this->head.status))) {
     const auto route = this->options.route;
     const bool may_retry = this->head.status >= http_status::kServerError &&
                            route->is_repeatable() &&
@@ -257,7 +271,7 @@
     this->options.session->SendBody(this->buffered_body);
     this->options.session->FinishResponse();
   }
-  if (IsSuccess(this->head.status)) {
+  if (http_status::IsSuccess(this->head.status)) {
     this->context.placement.OnServed(this->options.endpoint,
                                      BootTimeNow() - this->attempt->started());
   }
@@ -324,18 +338,18 @@
 }
 
 void ForwardedRequest::Refuse(const std::string& reason, Duration retry_after) {
-  LogEvent(
-      Event::kOnlineRequestRefused,
-      {{"request", this->metadata.attempt_id},
-       {"route", this->options.route->name},
-       {"reason", reason},
-       {"replica", this->choice ? this->choice->replica : ""},
-       {"load", this->choice ? LoadText(*this->choice) : ""},
-       {"expected_wait_ms",
-        this->choice ? MillisecondsText(this->choice->expected_wait) : ""},
-       {"retry_after_ms", MillisecondsText(retry_after)},
-       {"config", std::to_string(this->options.config->version)},
-       {"registry_age_ms", MillisecondsText(this->context.registry_age())}});
+  LogEvent(Event::kOnlineRequestRefused,
+           {{"request", this->metadata.attempt_id},
+            {"route", this->options.route->name},
+            {"reason", reason},
+            {"replica", this->choice ? this->choice->replica : ""},
+            {"load", this->choice ? LoadText(*this->choice) : ""},
+            {"expected_wait_ms",
+             this->choice ? MillisecondsText(this->choice->expected_wait) : ""},
+            {"retry_after_ms", MillisecondsText(retry_after)},
+            {"config", std::to_string(this->options.config->version)},
+            {"registry_age_ms", MillisecondsText(this->context.registry_age())},
+            {"parts", PartsText(this->metadata.prompt_parts)}});
   this->options.session->Respond(http_status::kUnavailable,
                                  platform::RefusalFields(retry_after), "");
   this->Finish("refused", http_status::kUnavailable, Verdict::kNotRun);
--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -7,8 +7,10 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "Gateway/crash_watch.h"
 #include "LibAsyncHttp/connection_pool.h"
 #include "LibMetrics/request_metrics.h"
+#include "LibServing/crash_evidence.h"
 #include "LibServing/placement.h"
 #include "LibServing/replica_directory.h"
 #include "LibServing/replica_loads.h"
@@ -31,6 +33,12 @@
   std::function<void()> on_load_change;
   /// Age of this host's copy of the replica registry.
   std::function<Duration()> registry_age;
+  CrashEvidence& crash_evidence;
+  CrashWatch& crash_watch;
+  /// Number of running gateways that this host knows of, itself included.
+  std::function<std::size_t()> running_hosts;
+  /// A number from 0 to 1, drawn at random.
+  std::function<double()> draw;
   /// Bytes of all responses that are collected before they are passed on.
   std::size_t collected_bytes = 0;
 };
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -1,5 +1,6 @@
 #include "Gateway/gateway.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -36,6 +37,9 @@
 /// exit.
 constexpr Duration kShutdownMargin = std::chrono::milliseconds(500);
 
+/// Path of the blocked prompt parts on the port for metrics.
+constexpr std::string_view kBlockedPartsPath = "/blocked-parts";
+
 Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(const std::string& text) {
   TRY_ASSIGN(const auto address, ParsePeerAddress(text));
   return boost::asio::ip::tcp::endpoint(address.address, address.port);
@@ -61,6 +65,14 @@
   return host.substr(0, host.find(':'));
 }
 
+std::string JoinParts(const BlockedParts& blocked) {
+  std::string text;
+  for (const auto& part : blocked.parts) {
+    text += (text.empty() ? "" : ",") + part;
+  }
+  return text;
+}
+
 /// Limits of the connections for readiness checks and metrics: the defaults.
 SessionLimits InternalLimits() {
   return {};
@@ -89,6 +101,9 @@
             {.address = ParseEndpoint(this->settings.store.address)
                             .value_or(boost::asio::ip::tcp::endpoint())}),
       pool(loop),
+      crash_watch(loop,
+                  this->crash_evidence,
+                  this->settings.limits.connect_time),
       placement(MakePlacementOptions(this->settings),
                 this->directory,
                 this->loads,
@@ -106,8 +121,13 @@
                   [this] {
                     return BootTimeNow() -
                            this->replica_follower->current_as_of();
-                  }},
-      peer_exchange(loop, this->loads, this->peer_items),
+                  },
+              .crash_evidence = this->crash_evidence,
+              .crash_watch = this->crash_watch,
+              .running_hosts =
+                  [this] { return this->peer_exchange.running_hosts(); },
+              .draw = [this] { return this->random.Unit(); }},
+      peer_exchange(loop, this->loads, this->peer_items, this->crash_evidence),
       caller_listener(
           loop,
           [this] { return this->CallerLimits(); },
@@ -119,11 +139,16 @@
                          [this](const auto& session, const auto& request) {
                            this->HandleReady(session, request);
                          }),
-      metrics_listener(loop,
-                       InternalLimits,
-                       [this](const auto& session, const auto&) {
-                         this->HandleMetrics(session);
-                       }),
+      metrics_listener(
+          loop,
+          InternalLimits,
+          [this](const auto& session, const auto& request) {
+            if (request.head.path().starts_with(kBlockedPartsPath)) {
+              this->HandleBlockedParts(session, request);
+            } else {
+              this->HandleMetrics(session);
+            }
+          }),
       tick_timer(loop) {}
 
 Result<void> Gateway::Start() {
@@ -201,6 +226,8 @@
   });
   this->peer_exchange.set_on_report(
       [this] { this->batch_service->runner().PreemptRuns(); });
+  this->crash_watch.set_on_crash(
+      [this] { this->peer_exchange.OnLoadChange(); });
   this->config_follower->Start();
   this->replica_follower->Start();
   this->batch_service->Start();
@@ -364,13 +391,60 @@
   add("crocus_replicas_known", this->directory.size());
   add("crocus_batch_items_running", this->batch_service->runner().running());
   add("crocus_batch_results_unwritten", this->batch_service->unwritten());
+  add("crocus_replica_crashes_total", this->crash_watch.crashes());
+  add("crocus_crash_suspects", this->crash_evidence.size());
+  add("crocus_blocked_prompt_parts", this->crash_evidence.blocked().size());
   add("crocus_configuration_version", this->config ? this->config->version : 0);
   session->Respond(http_status::kOk,
                    HeaderFields::WithContentType("text/plain; version=0.0.4"),
                    std::move(text));
 }
 
+void Gateway::HandleBlockedParts(const std::shared_ptr<ServerSession>& session,
+                                 const Request& request) {
+  const TimePoint now = BootTimeNow();
+  std::string_view part = request.head.path().substr(kBlockedPartsPath.size());
+  if (request.head.method == "DELETE") {
+    part.remove_prefix(std::min<std::size_t>(part.size(), 1));
+    const bool is_known = this->crash_evidence.Lift(std::string(part), now);
+    this->peer_exchange.OnLoadChange();
+    session->Respond(is_known ? http_status::kOk : http_status::kNotFound, {},
+                     "");
+    return;
+  }
+  std::string text;
+  for (const auto& blocked : this->crash_evidence.blocked()) {
+    text += JoinParts(blocked) + " crashes=" + std::to_string(blocked.crashes) +
+            " failed_trials=" + std::to_string(blocked.failed_trials) +
+            " next_trial_ms=" + MillisecondsText(blocked.next_trial - now) +
+            "\n";
+  }
+  session->Respond(http_status::kOk,
+                   HeaderFields::WithContentType("text/plain"),
+                   std::move(text));
+}
+
+void Gateway::LogBlockChanges() {
+  for (const auto& [blocked, is_blocked] : this->crash_evidence.TakeChanges()) {
+    if (is_blocked) {
+      LogEvent(Event::kPromptPartsBlocked,
+               {{"parts", JoinParts(blocked)},
+                {"crashes", std::to_string(blocked.crashes)},
+                {"failed_trials", std::to_string(blocked.failed_trials)},
+                {"next_trial_ms",
+                 MillisecondsText(blocked.next_trial - BootTimeNow())}});
+    } else {
+      LogEvent(Event::kPromptPartsUnblocked,
+               {{"parts", JoinParts(blocked)},
+                {"crashes", std::to_string(blocked.crashes)},
+                {"failed_trials", std::to_string(blocked.failed_trials)}});
+    }
+  }
+}
+
 void Gateway::Tick() {
+  this->crash_evidence.Expire(BootTimeNow());
+  this->LogBlockChanges();
   this->loads.DropExpiredReports(BootTimeNow());
   for (const auto& replica : this->directory.RemoveExpired(BootTimeNow())) {
     LogEvent(Event::kReplicaChanged,
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -47,6 +47,10 @@
   void HandleReady(const std::shared_ptr<ServerSession>& session,
                    const Request& request);
   void HandleMetrics(const std::shared_ptr<ServerSession>& session);
+  /// Lists the blocked parts (GET), or lifts the block of one (DELETE).
+  void HandleBlockedParts(const std::shared_ptr<ServerSession>& session,
+                          const Request& request);
+  void LogBlockChanges();
   SessionLimits CallerLimits() const;
   bool is_ready() const;
   /// Logs the readiness if it has changed.
@@ -60,6 +64,8 @@
   ConnectionPool pool;
   ReplicaDirectory directory;
   ReplicaLoads loads;
+  CrashEvidence crash_evidence;
+  CrashWatch crash_watch;
   PeerItems peer_items;
   Placement placement;
   RequestMetrics metrics;
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -52,9 +52,11 @@
 
 PeerExchange::PeerExchange(boost::asio::io_context& loop,
                            ReplicaLoads& loads,
-                           PeerItems& items)
+                           PeerItems& items,
+                           CrashEvidence& crash_evidence)
     : loads(loads),
       items(items),
+      crash_evidence(crash_evidence),
       socket(loop),
       timer(loop),
       zone_timer(loop),
@@ -103,6 +105,10 @@
   this->endpoints[address] = {parsed->address, parsed->port};
   LogEvent(Event::kPeerChanged,
            {{"address", address}, {"zone", zone}, {"state", "known"}});
+  // The peer may have started after the crashes.
+  if (this->crash_evidence.size() > 0) {
+    this->SendTo(address, this->EncodeCrashEvidence(true));
+  }
 }
 
 void PeerExchange::OnLoadChange() {
@@ -161,8 +167,16 @@
   this->has_unreported_change = false;
   this->last_sent = BootTimeNow();
   const std::string bytes = Encode(this->MakeHostReport());
+  const bool sends_evidence = this->direct_evidence.Take(
+      this->crash_evidence.own_changes(),
+      !this->crash_evidence.blocked().empty(), this->last_sent);
+  const std::string evidence =
+      sends_evidence ? this->EncodeCrashEvidence(true) : std::string();
   for (const auto& address : this->plan->TakeDirectReceivers(this->last_sent)) {
     this->SendTo(address, bytes);
+    if (sends_evidence) {
+      this->SendTo(address, evidence);
+    }
   }
   this->Schedule(kMaximumReportInterval);
 }
@@ -188,9 +202,41 @@
     report.members.push_back(HashBytes(mate));
   }
   const std::string bytes = EncodeFrame(MakeFrame(report));
+  const bool sends_evidence =
+      this->zone_evidence.Take(this->crash_evidence.changes_known(),
+                               !this->crash_evidence.blocked().empty(), now);
+  const std::string evidence =
+      sends_evidence ? this->EncodeCrashEvidence(false) : std::string();
   for (const auto& address :
        this->plan->ZoneReportReceivers(report.sequence, now)) {
     this->SendTo(address, bytes);
+    if (sends_evidence) {
+      this->SendTo(address, evidence);
+    }
+  }
+}
+
+std::string PeerExchange::EncodeCrashEvidence(bool is_relayed) const {
+  return EncodeFrame(MakeFrame(messages::CrashReport{
+      .availability_zone = this->own_zone,
+      .is_relayed = is_relayed,
+      .parts = this->crash_evidence.Report(BootTimeNow())}));
+}
+
+void PeerExchange::OnCrashReport(const std::string& address,
+                                 std::string_view bytes) {
+  auto report = Decode<messages::CrashReport>(bytes);
+  if (!report) {
+    this->RejectReport(address, report.error().message);
+    return;
+  }
+  const TimePoint now = BootTimeNow();
+  this->crash_evidence.Merge(report->parts, now);
+  if (!report->is_relayed && report->availability_zone != this->own_zone) {
+    const std::string relayed = this->EncodeCrashEvidence(true);
+    for (const auto& mate : this->plan->ZoneMates(now)) {
+      this->SendTo(mate, relayed);
+    }
   }
 }
 
@@ -214,6 +260,8 @@
                               std::to_string(this->source.port());
   if (IsFrameOf(messages::ZoneReport::kType, bytes)) {
     this->OnZoneReport(address, bytes.substr(kFrameHeaderBytes));
+  } else if (IsFrameOf(messages::CrashReport::kType, bytes)) {
+    this->OnCrashReport(address, bytes.substr(kFrameHeaderBytes));
   } else {
     this->OnHostReport(address, bytes);
   }
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -17,7 +17,9 @@
 #include "LibCore/result.h"
 #include "LibCore/time.h"
 #include "LibMessages/messages.h"
+#include "LibServing/crash_evidence.h"
 #include "LibServing/peer_items.h"
+#include "LibServing/repeated_update.h"
 #include "LibServing/replica_loads.h"
 #include "LibServing/report_plan.h"
 #include "LibServing/report_source.h"
@@ -39,7 +41,8 @@
  public:
   PeerExchange(boost::asio::io_context& loop,
                ReplicaLoads& loads,
-               PeerItems& items);
+               PeerItems& items,
+               CrashEvidence& crash_evidence);
 
   /// Fails with kUnavailable if the port cannot be opened.
   Result<void> Open(const PeerExchangeOptions& options);
@@ -53,6 +56,11 @@
   /// latest.
   void OnLoadChange();
 
+  /// Number of running gateways, this one included.
+  std::size_t running_hosts() const {
+    return this->plan ? this->plan->RunningHosts(BootTimeNow()) : 1;
+  }
+
   /// Sets the callback for each accepted report of a peer.
   void set_on_report(std::function<void()> callback) {
     this->on_report = std::move(callback);
@@ -92,12 +100,20 @@
   messages::OutstandingReport MakeHostReport();
   void SendReports();
   void SendZoneReport();
+  /// The evidence on crashes as a frame.
+  std::string EncodeCrashEvidence(bool is_relayed) const;
+  void OnCrashReport(const std::string& address, std::string_view bytes);
   void SendTo(const std::string& address, const std::string& bytes);
   void Schedule(Duration delay);
   void ScheduleZoneReport();
 
   ReplicaLoads& loads;
   PeerItems& items;
+  CrashEvidence& crash_evidence;
+  /// When the evidence is sent to the receivers of this host's reports, and to
+  /// those of its zone's.
+  RepeatedUpdate direct_evidence;
+  RepeatedUpdate zone_evidence;
   boost::asio::ip::udp::socket socket;
   boost::asio::steady_timer timer;
   boost::asio::steady_timer zone_timer;
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "LibAsyncHttp/http_serialization.h"
+#include "LibAsyncHttp/http_status.h"
 #include "LibEvents/event_log.h"
 #include "LibNetwork/peer_address.h"
 #include "platform/request_headers.h"
@@ -27,6 +28,7 @@
     });
     return;
   }
+  this->endpoint = {address->address, address->port};
   this->is_counted = true;
   this->context.loads.OnSent(this->options.replica, this->options.work);
   this->context.on_load_change();
@@ -43,7 +45,7 @@
                     auto end,
                     const auto& reason) { self->OnExchangeEnd(end, reason); }};
   this->connection = this->context.pool.Start(
-      this->options.replica, {address->address, address->port},
+      this->options.replica, this->endpoint,
       SerializeRequest(this->options.head, this->options.body),
       std::move(events),
       {.connect_timeout = this->context.connect_timeout,
@@ -62,6 +64,8 @@
     return HeadDecision::kAccept;
   }
   this->ends_with_connection = head.framing == BodyFraming::kConnectionClose;
+  this->is_success =
+      http_status::IsSuccess(head.status) && response_metadata.is_signed;
   this->options.on_head(head, response_metadata);
   return HeadDecision::kAccept;
 }
@@ -91,8 +95,13 @@
   } else if (result.end != ExchangeEnd::kComplete) {
     result.verdict = Verdict::kMayHaveRun;
     this->context.loads.OnFailure(this->options.replica, now);
+    this->context.crash_watch.OnBrokenAttempt(
+        this->options.replica, this->endpoint, this->options.shared_parts);
   } else {
     this->context.loads.OnSuccess(this->options.replica);
+    if (this->is_success) {
+      this->context.crash_evidence.OnCompleted(this->options.shared_parts, now);
+    }
   }
   const auto on_end = std::move(this->options.on_end);
   this->options.on_head = nullptr;
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "Gateway/forwarding_context.h"
 #include "LibAsyncHttp/exchange.h"
@@ -27,6 +28,8 @@
   std::string address;
   std::string attempt_id;
   WorkClass work = WorkClass::kOnline;
+  /// Ids of the prompt's parts that other requests may share.
+  std::vector<std::string> shared_parts;
   RequestHead head;
   std::string body;
   /// Receives the head of a response that may be used. Mismatched responses,
@@ -69,7 +72,9 @@
   AttemptOptions options;
   std::shared_ptr<ClientConnection> connection;
   TimePoint start_time{};
+  boost::asio::ip::tcp::endpoint endpoint;
   bool ends_with_connection = false;
+  bool is_success = false;
   /// Set if the response declares that the request was not run; else empty.
   std::string refusal_reason;
   /// True while `loads` counts this attempt.
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -191,12 +191,17 @@
     const std::string& gateway,
     const std::string& job,
     const std::vector<std::string>& items,
-    const std::string& body) {
+    const std::string& body,
+    const std::string& prefix) {
   json list = json::array();
   for (const auto& item : items) {
+    json headers = {{"X-Note", "n"}};
+    if (!prefix.empty()) {
+      headers[std::string(platform::header::kPromptPrefix)] = prefix;
+    }
     list.push_back({{"id", item},
                     {"path", "/batch/item"},
-                    {"headers", {{"X-Note", "n"}}},
+                    {"headers", std::move(headers)},
                     {"body", body},
                     {"tokens", 100}});
   }
--- a/Tests/PlatformStandin/gateway_fleet.h
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -64,11 +64,12 @@
   static RequestHead MakeRequestHead(const std::string& kind,
                                      const std::string& id);
   /// Submits a batch job whose items have the given ids and that body, which is
-  /// encoded in base64.
+  /// encoded in base64, and whose prompt has these parts.
   Result<FetchedResponse> Submit(const std::string& gateway,
                                  const std::string& job,
                                  const std::vector<std::string>& items,
-                                 const std::string& body = "q83vEjRWeJA=");
+                                 const std::string& body = "q83vEjRWeJA=",
+                                 const std::string& prefix = "");
   /// A page of a job's results as JSON, or null without a response of status
   /// 200.
   nlohmann::json ReadResults(const std::string& gateway,
