Count a response that keeps arriving as evidence for its prompt's parts

Cause: an item that runs for seconds and was hit by three unrelated crashes had no complete response in between, so its parts were blocked. Change: a response that has been arriving for 250 ms clears its parts, as the requests at fault end their replica when the response begins. A due trial takes place within 10 s, since only one host may have such requests. Measured: LongBatchItemIsResumedAfterEachCrash fails without the change and passes with it.

--- a/Libraries/LibMessages/messages.h
+++ b/Libraries/LibMessages/messages.h
@@ -644,11 +644,10 @@
 struct PartEvidence {
   /// Id of the part.
   std::string part{};
-  /// Crashes since the last completed request.
+  /// Crashes since the last served request.
   std::vector<CrashSighting> crashes{};
-  /// Time since a request with the part was last completed; -1 if none is
-  /// known.
-  std::int64_t completed_age_ms{0};
+  /// Time since a request with the part was last served; -1 if none is known.
+  std::int64_t served_age_ms{0};
   /// Requests that were let through although the part is blocked.
   std::uint32_t trials{0};
   /// Time since the last of them; -1 if there was none.
@@ -658,7 +657,7 @@
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(part, crashes, completed_age_ms, trials, trial_age_ms);
+    archive(part, crashes, served_age_ms, trials, trial_age_ms);
   }
 };
 
--- a/Libraries/LibServing/crash_evidence.cc
+++ b/Libraries/LibServing/crash_evidence.cc
@@ -74,15 +74,15 @@
 }
 
 std::uint32_t CrashEvidence::Threshold(const Entry& entry) const {
-  const bool is_proven = entry.completed && !entry.crashes.empty() &&
-                         entry.crashes.front().time - *entry.completed <
-                             this->options.proof_lifetime;
+  const bool is_proven =
+      entry.served && !entry.crashes.empty() &&
+      entry.crashes.front().time - *entry.served < this->options.proof_lifetime;
   return is_proven ? this->options.crashes_to_block_proven_part
                    : this->options.crashes_to_block;
 }
 
 bool CrashEvidence::AddCrash(Entry& entry, const Crash& crash) {
-  if ((entry.completed && *entry.completed >= crash.time) ||
+  if ((entry.served && *entry.served >= crash.time) ||
       this->HasCrash(entry, crash)) {
     return false;
   }
@@ -107,11 +107,11 @@
   return entry.crashes != before;
 }
 
-bool CrashEvidence::AddCompleted(Entry& entry, TimePoint time) {
-  if (entry.completed && *entry.completed >= time) {
+bool CrashEvidence::AddServed(Entry& entry, TimePoint time) {
+  if (entry.served && *entry.served >= time) {
     return false;
   }
-  entry.completed = time;
+  entry.served = time;
   const auto cleared = std::erase_if(
       entry.crashes, [time](const Crash& crash) { return crash.time <= time; });
   if (entry.crashes.empty()) {
@@ -124,9 +124,9 @@
 CrashEvidence::Entry& CrashEvidence::EntryOf(const std::string& part) {
   const auto [found, is_new] = this->entries.try_emplace(part);
   if (is_new) {
-    const auto completed = this->completed_parts.find(part);
-    if (completed != this->completed_parts.end()) {
-      found->second.completed = completed->second;
+    const auto served = this->served_parts.find(part);
+    if (served != this->served_parts.end()) {
+      found->second.served = served->second;
     }
   }
   return found->second;
@@ -145,17 +145,17 @@
   }
 }
 
-void CrashEvidence::OnCompleted(const std::vector<std::string>& parts,
-                                TimePoint now) {
+void CrashEvidence::OnServed(const std::vector<std::string>& parts,
+                             TimePoint now) {
   bool has_changed = false;
   for (const auto& part : parts) {
-    if (this->completed_parts.size() < this->options.maximum_completed_parts ||
-        this->completed_parts.contains(part)) {
-      this->completed_parts[part] = now;
+    if (this->served_parts.size() < this->options.maximum_served_parts ||
+        this->served_parts.contains(part)) {
+      this->served_parts[part] = now;
     }
     if (const auto found = this->entries.find(part);
         found != this->entries.end()) {
-      has_changed = this->AddCompleted(found->second, now) || has_changed;
+      has_changed = this->AddServed(found->second, now) || has_changed;
     }
   }
   if (has_changed) {
@@ -168,8 +168,8 @@
   if (found == this->entries.end()) {
     return false;
   }
-  this->completed_parts[part] = now;
-  if (this->AddCompleted(found->second, now)) {
+  this->served_parts[part] = now;
+  if (this->AddServed(found->second, now)) {
     this->OnChange(true);
   }
   return true;
@@ -188,9 +188,12 @@
     if (!has_all) {
       continue;
     }
-    const bool is_trial =
-        now >= blocked.next_trial &&
-        chance * static_cast<double>(std::max<std::size_t>(hosts, 1)) < 1;
+    const double overdue = ToSeconds(now - blocked.next_trial) /
+                           ToSeconds(this->options.trial_spread);
+    const double trial_share =
+        1.0 / static_cast<double>(std::max<std::size_t>(hosts, 1)) +
+        overdue * overdue;
+    const bool is_trial = overdue >= 0 && chance < trial_share;
     if (!is_trial) {
       return blocked;
     }
@@ -212,10 +215,9 @@
     items.push_back(&item);
   }
   const auto last_change = [](const Entry& entry) {
-    const TimePoint completed = entry.completed.value_or(TimePoint());
-    return entry.crashes.empty()
-               ? completed
-               : std::max(completed, entry.crashes.back().time);
+    const TimePoint served = entry.served.value_or(TimePoint());
+    return entry.crashes.empty() ? served
+                                 : std::max(served, entry.crashes.back().time);
   };
   std::sort(items.begin(), items.end(), [&](const Item* a, const Item* b) {
     return std::make_pair(a->second.crashes.size(), last_change(a->second)) >
@@ -228,7 +230,7 @@
     messages::PartEvidence evidence{
         .part = part,
         .crashes = {},
-        .completed_age_ms = AgeOf(entry.completed, now),
+        .served_age_ms = AgeOf(entry.served, now),
         .trials = entry.trials,
         .trial_age_ms = AgeOf(entry.last_trial, now)};
     for (const auto& crash : entry.crashes) {
@@ -244,7 +246,7 @@
                           TimePoint now) {
   bool has_changed = false;
   for (const auto& evidence : report) {
-    const auto completed = TimeOf(evidence.completed_age_ms, now);
+    const auto served = TimeOf(evidence.served_age_ms, now);
     if (evidence.part.empty() || evidence.part.size() > kMaximumPartIdBytes ||
         (evidence.crashes.empty() && !this->entries.contains(evidence.part))) {
       continue;
@@ -255,8 +257,8 @@
             ? this->options.block_lifetime
             : this->options.suspicion_lifetime;
     Entry& entry = this->EntryOf(evidence.part);
-    if (completed) {
-      has_changed = this->AddCompleted(entry, *completed) || has_changed;
+    if (served) {
+      has_changed = this->AddServed(entry, *served) || has_changed;
     }
     for (const auto& crash : evidence.crashes) {
       if (const auto time = TimeOf(crash.age_ms, now);
@@ -280,14 +282,14 @@
 }
 
 void CrashEvidence::Expire(TimePoint now) {
-  std::erase_if(this->completed_parts, [&](const auto& item) {
+  std::erase_if(this->served_parts, [&](const auto& item) {
     return now - item.second > this->options.proof_lifetime;
   });
   bool has_changed = false;
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
     const auto& [part, evidence] = *entry;
     const TimePoint last = evidence.crashes.empty()
-                               ? evidence.completed.value_or(TimePoint())
+                               ? evidence.served.value_or(TimePoint())
                                : evidence.crashes.back().time;
     const Duration lifetime = this->IsBlocked(part)
                                   ? this->options.block_lifetime
--- a/Libraries/LibServing/crash_evidence.h
+++ b/Libraries/LibServing/crash_evidence.h
@@ -19,12 +19,12 @@
   /// Crashes within this time may have one cause outside of the requests, such
   /// as the loss of a rack. They count as one.
   Duration common_cause_time = std::chrono::milliseconds(250);
-  /// Crashes after which a part is blocked, if no request with it was completed
+  /// Crashes after which a part is blocked, if no request with it was served
   /// since the first of them.
   std::uint32_t crashes_to_block = 3;
-  /// The same for parts with a completed request shortly before.
+  /// The same for parts with a served request shortly before.
   std::uint32_t crashes_to_block_proven_part = 5;
-  /// How long a completed request before the first crash speaks for its parts.
+  /// How long a served request before the first crash speaks for its parts.
   Duration proof_lifetime = std::chrono::seconds(60);
   /// How long crashes count against a part that is not blocked.
   Duration suspicion_lifetime = std::chrono::seconds(120);
@@ -36,6 +36,9 @@
   /// Time after the last crash until one request is let through to see whether
   /// the parts are still at fault. Each trial that fails triples it.
   Duration first_trial_delay = std::chrono::seconds(20);
+  /// Time after a trial is due within which it takes place, if there is a
+  /// request for it.
+  Duration trial_spread = std::chrono::seconds(10);
   /// Parts with crashes; those with the least evidence are dropped first.
   std::size_t maximum_parts = 96;
   /// Crashes that are kept of a part. Those closest to others in time, which
@@ -43,8 +46,8 @@
   std::size_t maximum_crashes = 16;
   /// Parts in a report to other hosts.
   std::size_t maximum_reported_parts = 64;
-  /// Parts whose last completed request is remembered.
-  std::size_t maximum_completed_parts = 1024;
+  /// Parts whose last served request is remembered.
+  std::size_t maximum_served_parts = 1024;
 };
 
 /// Parts of prompts that together crash replicas.
@@ -74,7 +77,7 @@
 /// replica after the other, and with each the sound requests beside them.
 ///
 /// A crash counts against every shared part of the requests that it ended. A
-/// completed request clears its parts of all earlier crashes, which clears the
+/// served request clears its parts of all earlier crashes, which clears the
 /// parts that sound requests share with the faulty ones. Crashes that a blocked
 /// part explains do not count against others. If several parts have the same
 /// crashes, only requests with all of them are blocked: a request with some of
@@ -93,16 +96,18 @@
   void OnCrash(const std::string& replica,
                const std::vector<std::string>& parts,
                TimePoint now);
-  /// A request with these shared parts has its complete response.
-  void OnCompleted(const std::vector<std::string>& parts, TimePoint now);
-  /// An operator states that the part is not at fault. Like a completed
+  /// A replica has served a request with these shared parts: its response is
+  /// complete, or has been arriving for a while.
+  void OnServed(const std::vector<std::string>& parts, TimePoint now);
+  /// An operator states that the part is not at fault. Like a served
   /// request, it counts on all hosts. False if nothing is known of the part.
   bool Lift(const std::string& part, TimePoint now);
 
   /// The blocked parts that the request has, or none if it may be sent. If
-  /// their trial is due, lets one in `hosts` requests through, drawn by
-  /// `chance` from 0 to 1, so that about one reaches a replica in the whole
-  /// fleet.
+  /// their trial is due, lets a request through, drawn by `chance` from 0 to 1.
+  /// At first it is one in `hosts`, so that about one reaches a replica in the
+  /// whole fleet; the share then grows, as only one host may have such
+  /// requests.
   std::optional<BlockedParts> Check(const std::vector<std::string>& parts,
                                     TimePoint now,
                                     std::size_t hosts,
@@ -135,9 +140,9 @@
   };
 
   struct Entry {
-    /// Crashes after the last completed request, in the order of their times.
+    /// Crashes after the last served request, in the order of their times.
     std::vector<Crash> crashes;
-    std::optional<TimePoint> completed;
+    std::optional<TimePoint> served;
     std::uint32_t trials = 0;
     std::optional<TimePoint> last_trial;
   };
@@ -151,8 +156,8 @@
   std::uint32_t Threshold(const Entry& entry) const;
   /// Both return true if the entry has changed.
   bool AddCrash(Entry& entry, const Crash& crash);
-  bool AddCompleted(Entry& entry, TimePoint time);
-  /// The entry of the part; a new one has its last completed request.
+  bool AddServed(Entry& entry, TimePoint time);
+  /// The entry of the part; a new one has its last served request.
   Entry& EntryOf(const std::string& part);
   /// Drops the entries with the least evidence above the limit.
   void Bound();
@@ -163,7 +168,7 @@
 
   const CrashEvidenceOptions options;
   std::map<std::string, Entry> entries;
-  std::map<std::string, TimePoint> completed_parts;
+  std::map<std::string, TimePoint> served_parts;
   std::vector<BlockedParts> blocked_parts;
   std::vector<BlockChange> changes;
   std::uint64_t change_count = 0;
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -10,6 +10,14 @@
 
 namespace crocus {
 
+namespace {
+
+/// Time for which a response must have been arriving before its request counts
+/// as served. Requests that crash replicas do so as their response begins.
+constexpr Duration kServedTime = std::chrono::milliseconds(250);
+
+}  // namespace
+
 ReplicaAttempt::ReplicaAttempt(ForwardingContext& context,
                                AttemptOptions options)
     : context(context), options(std::move(options)) {}
@@ -35,12 +43,7 @@
   const auto self = this->shared_from_this();
   ExchangeEvents events{
       .on_head = [self](const auto& head) { return self->OnHead(head); },
-      .on_body =
-          [self](auto bytes) {
-            if (!self->is_ended && self->refusal_reason.empty()) {
-              self->options.on_body(bytes);
-            }
-          },
+      .on_body = [self](auto bytes) { self->OnBody(bytes); },
       .on_end = [self](
                     auto end,
                     const auto& reason) { self->OnExchangeEnd(end, reason); }};
@@ -70,6 +73,21 @@
   return HeadDecision::kAccept;
 }
 
+void ReplicaAttempt::OnBody(std::string_view bytes) {
+  if (this->is_ended || !this->refusal_reason.empty()) {
+    return;
+  }
+  if (this->is_success && !this->is_noted_as_served) {
+    const TimePoint now = BootTimeNow();
+    this->body_started = this->body_started.value_or(now);
+    if (now - *this->body_started >= kServedTime) {
+      this->is_noted_as_served = true;
+      this->context.crash_evidence.OnServed(this->options.shared_parts, now);
+    }
+  }
+  this->options.on_body(bytes);
+}
+
 void ReplicaAttempt::OnExchangeEnd(ExchangeEnd end, const std::string& reason) {
   if (this->is_ended) {
     return;
@@ -100,7 +118,7 @@
   } else {
     this->context.loads.OnSuccess(this->options.replica);
     if (this->is_success) {
-      this->context.crash_evidence.OnCompleted(this->options.shared_parts, now);
+      this->context.crash_evidence.OnServed(this->options.shared_parts, now);
     }
   }
   const auto on_end = std::move(this->options.on_end);
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,7 @@
 
  private:
   HeadDecision OnHead(const ResponseHead& head);
+  void OnBody(std::string_view bytes);
   void OnExchangeEnd(ExchangeEnd end, const std::string& reason);
   void Release();
 
@@ -75,6 +77,9 @@
   boost::asio::ip::tcp::endpoint endpoint;
   bool ends_with_connection = false;
   bool is_success = false;
+  /// When the first bytes of the body were received.
+  std::optional<TimePoint> body_started;
+  bool is_noted_as_served = false;
   /// Set if the response declares that the request was not run; else empty.
   std::string refusal_reason;
   /// True while `loads` counts this attempt.
--- a/Tests/Gateway/crashing_part_test.cc
+++ b/Tests/Gateway/crashing_part_test.cc
@@ -2,6 +2,8 @@
 
 #include <signal.h>
 
+#include <nlohmann/json.hpp>
+
 #include "LibCore/time.h"
 #include "PlatformStandin/gateway_fleet.h"
 #include "platform/names.h"
@@ -19,6 +21,47 @@
 
 }  // namespace
 
+TEST_GROUP(Gateway_UnrelatedCrashes) {
+  GatewayFleet fleet;
+};
+
+// Guards against holding back a long batch item because each replica at which
+// it ran has crashed for a reason of its own.
+TEST(Gateway_UnrelatedCrashes, LongBatchItemIsResumedAfterEachCrash) {
+  for (int i = 0; i < 4; ++i) {
+    this->fleet.AddReplica("model",
+                           {.id = "i-" + std::to_string(i),
+                            .event_interval = std::chrono::milliseconds(150)});
+  }
+  this->fleet.StartGateway("a");
+  int suffix = 0;
+  while (StandinEventCount("long" + std::to_string(suffix)) < 20) {
+    ++suffix;
+  }
+  const std::string item = "long" + std::to_string(suffix);
+  CHECK_EQUAL(202U, this->fleet
+                        .Submit("a", "unlucky", {item},
+                                "q83vEjRWeJA=", "9c2e41:300,5d07b8:240")
+                        ->head.status);
+  for (std::uint32_t run = 1; run <= 3; ++run) {
+    CHECK_TRUE(this->fleet.RunUntil(
+        [&, this] { return this->fleet.RunsOf(item) >= run; }));
+    this->fleet.RunFor(std::chrono::milliseconds(600));
+    for (const auto& replica : this->fleet.replicas) {
+      if (replica->running() > 0) {
+        replica->Crash(std::chrono::milliseconds(500));
+      }
+    }
+  }
+  CHECK_TRUE(this->fleet.RunUntil([&, this] {
+    const auto page = this->fleet.ReadResults("a", "unlucky");
+    return !page.is_null() && page["results"].size() == 1;
+  }));
+  const auto page = this->fleet.ReadResults("a", "unlucky");
+  STRCMP_EQUAL(ExpectedText(item).c_str(),
+               page["results"][0]["text"].get<std::string>().c_str());
+}
+
 TEST_GROUP(Gateway_CrashingPromptPart) {
   GatewayFleet fleet;
   std::uint32_t sent = 0;
--- a/Tests/LibServing/crash_evidence_test.cc
+++ b/Tests/LibServing/crash_evidence_test.cc
@@ -58,10 +58,10 @@
 }
 
 // Guards against refusing a part that sound requests share with others.
-TEST(CrashEvidence_OneHost, CompletedRequestClearsItsParts) {
+TEST(CrashEvidence_OneHost, ServedRequestClearsItsParts) {
   for (int i = 0; i < 5; ++i) {
     this->Crash({"shared", "dead" + std::to_string(i % 2)});
-    this->evidence.OnCompleted({"shared"}, this->now + milliseconds(10));
+    this->evidence.OnServed({"shared"}, this->now + milliseconds(10));
   }
   CHECK_FALSE(IsBlocked(this->evidence, {"shared", "other"}, this->now));
   CHECK_TRUE(IsBlocked(this->evidence, {"shared", "dead0"}, this->now));
@@ -109,10 +109,10 @@
   CHECK_FALSE(IsBlocked(this->evidence, {"unlucky"}, this->now));
 }
 
-// Guards against blocking a part with completed requests as quickly as an
+// Guards against blocking a part with served requests as quickly as an
 // unknown one.
-TEST(CrashEvidence_OneHost, PartWithCompletedRequestsNeedsMoreCrashes) {
-  this->evidence.OnCompleted({"known"}, this->now);
+TEST(CrashEvidence_OneHost, PartWithServedRequestsNeedsMoreCrashes) {
+  this->evidence.OnServed({"known"}, this->now);
   for (int i = 0; i < 4; ++i) {
     this->Crash({"known"});
   }
@@ -123,7 +123,7 @@
 
 // Guards against keeping out a sound part for good, and against trials that
 // crash many replicas.
-TEST(CrashEvidence_OneHost, TrialsAreRareAndACompletedOneLiftsTheBlock) {
+TEST(CrashEvidence_OneHost, TrialsAreRareAndAServedOneLiftsTheBlock) {
   for (int i = 0; i < 3; ++i) {
     this->Crash({"p"});
   }
@@ -136,7 +136,7 @@
     }
   }
   CHECK_EQUAL(2, trials);
-  this->evidence.OnCompleted({"p"}, this->now);
+  this->evidence.OnServed({"p"}, this->now);
   CHECK_FALSE(IsBlocked(this->evidence, {"p"}, this->now));
 }
 
@@ -174,7 +174,7 @@
                              this->now);
     }
     for (int i = 0; i < 1000; ++i) {
-      this->evidence.OnCompleted({"c" + std::to_string(++next)}, this->now);
+      this->evidence.OnServed({"c" + std::to_string(++next)}, this->now);
     }
   }
   CHECK_TRUE(IsBlocked(this->evidence, {"dead"}, this->now));
@@ -227,7 +227,7 @@
        {.part = "p",
         .crashes = {{.replica_hash = 1, .age_ms = big},
                     {.replica_hash = 2, .age_ms = -big}},
-        .completed_age_ms = big,
+        .served_age_ms = big,
         .trials = 4'000'000'000U,
         .trial_age_ms = -7}},
       this->now);
@@ -255,15 +255,15 @@
         }
       }
       if (*rc::gen::inRange(0, 4) == 0) {
-        source.OnCompleted(parts, now);
+        source.OnServed(parts, now);
       } else {
         source.OnCrash("r" + std::to_string(++replica), parts, now);
       }
     }
     std::vector<CrashEvidence> receivers(2);
     for (auto& receiver : receivers) {
-      // The receiver that has the crashes of a part may drop its completions
-      // only once it knows the part, so that the reports come twice.
+      // The receiver that has the crashes of a part may drop its served
+      // requests only once it knows the part, so that the reports come twice.
       for (int round = 0; round < 2; ++round) {
         std::vector<int> order = {0, 1, 2, 3, 0, 1, 2, 3};
         for (std::size_t i = order.size(); i > 1; --i) {
@@ -371,7 +371,7 @@
     }
     for (auto run = this->running.begin(); run != this->running.end();) {
       if (run->done <= this->now) {
-        this->hosts[run->host]->evidence.OnCompleted(run->parts, this->now);
+        this->hosts[run->host]->evidence.OnServed(run->parts, this->now);
         run = this->running.erase(run);
       } else {
         ++run;
