--- a/Libraries/LibSettings/settings.h
+++ b/Libraries/LibSettings/settings.h
@@ -272,7 +272,8 @@
     /// File that receives the ports, for addresses with port 0; if empty, none
     /// is written.
     std::string port_file{""};
-    /// TCP port that serves /metrics; 0 disables it.
+    /// TCP port that serves /metrics and /blocked-parts; 0 disables it. Callers
+    /// must not reach it.
     std::uint16_t metrics_port{9464};
     /// Each availability zone and its region as zone=region, separated by
     /// commas.
--- a/Tests/Gateway/crashing_part_test.cc
+++ b/Tests/Gateway/crashing_part_test.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include "LibCore/time.h"
@@ -19,6 +20,14 @@
 
 const std::string kCrashingPart = "dead01";
 
+/// A port of the loopback interface that nothing uses.
+std::uint16_t FreePort() {
+  boost::asio::io_context loop;
+  const boost::asio::ip::tcp::acceptor acceptor(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return acceptor.local_endpoint().port();
+}
+
 }  // namespace
 
 TEST_GROUP(Gateway_UnrelatedCrashes) {
@@ -63,7 +72,8 @@
 }
 
 TEST_GROUP(Gateway_CrashingPromptPart) {
-  GatewayFleet fleet;
+  const std::uint16_t metrics_port = FreePort();
+  GatewayFleet fleet{GatewayFleetOptions{.metrics_port = this->metrics_port}};
   std::uint32_t sent = 0;
   std::uint32_t sound = 0;
   std::uint32_t sound_served = 0;
@@ -226,4 +236,37 @@
   CHECK_EQUAL(this->sound, this->sound_served);
 }
 
+// Guards against a block that nobody can see or end once its cause is mended.
+TEST(Gateway_CrashingPromptPart, OperatorLiftsTheBlockOnAllGateways) {
+  this->SendFor(kStableWindow);
+  for (const auto& replica : this->fleet.replicas) {
+    replica->set_faults({});
+  }
+  this->fleet.RunFor(std::chrono::seconds(1));
+  const auto call = [this](const std::string& method, const std::string& path) {
+    std::optional<Result<FetchedResponse>> result;
+    Fetch(this->fleet.loop, this->fleet.pool,
+          {.pool_key = "operator",
+           .server = {boost::asio::ip::make_address("127.0.0.1"),
+                      this->metrics_port},
+           .head = {.method = method, .target = path}},
+          [&result](auto fetched) { result = std::move(fetched); });
+    this->fleet.RunUntil([&result] { return result.has_value(); });
+    return **result;
+  };
+  const auto listed = call("GET", "/blocked-parts");
+  CHECK_TRUE(listed.body.find(kCrashingPart) != std::string::npos);
+  CHECK_EQUAL(404U, call("DELETE", "/blocked-parts/none").head.status);
+  CHECK_EQUAL(kOk,
+              call("DELETE", "/blocked-parts/" + kCrashingPart).head.status);
+  this->fleet.RunFor(std::chrono::seconds(1));
+  for (const std::string gateway : {"a", "b", "c"}) {
+    auto head = GatewayFleet::MakeRequestHead("stream", "mended" + gateway);
+    head.fields.Add(std::string(platform::header::kPromptPrefix),
+                    "f1:200,c2:80," + kCrashingPart + ":40,5e56:20");
+    const auto reply = this->fleet.Send(gateway, head);
+    CHECK_EQUAL(kOk, reply ? reply->head.status : 0);
+  }
+}
+
 }  // namespace crocus
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -125,12 +125,16 @@
 void GatewayFleet::StartGateway(const std::string& name,
                                 std::uint16_t store_port) {
   const std::uint16_t port = store_port == 0 ? this->store.port() : store_port;
+  const std::uint16_t metrics_port =
+      std::exchange(this->has_metrics, true) ? 0 : this->options.metrics_port;
   this->processes.StartProgram(
       name, "crocus-gateway",
       "name = " + name +
           "\navailability_zone = waco-a\nregion = central-tx\n"
           "caller_address = 127.0.0.1:0\nready_address = 127.0.0.1:0\n"
-          "address = 127.0.0.1\npeer_port = 0\nmetrics_port = 0\n"
+          "address = 127.0.0.1\npeer_port = 0\nmetrics_port = " +
+          std::to_string(metrics_port) +
+          "\n"
           "zone_regions = waco-a=central-tx\n"
           "[store]\naddress = 127.0.0.1:" +
           std::to_string(port) +
--- a/Tests/PlatformStandin/gateway_fleet.h
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -25,6 +25,8 @@
   std::uint32_t batch_retention_seconds = 60;
   /// Timeout of all routes.
   std::uint32_t timeout_milliseconds = 3000;
+  /// Port for metrics of the first gateway; 0 for none.
+  std::uint16_t metrics_port = 0;
 };
 
 /// Runs gateways as processes. The store and the replicas that they use run in
@@ -93,6 +95,7 @@
 
  private:
   const GatewayFleetOptions options;
+  bool has_metrics = false;
 };
 
 /// The body of a complete stream, as the stand-in sends it.
--- a/Tests/PlatformStandin/replica_standin.cc
+++ b/Tests/PlatformStandin/replica_standin.cc
@@ -230,8 +230,10 @@
 }
 
 void ReplicaStandin::Crash(Duration restart_time) {
+  if (std::exchange(this->is_down, true)) {
+    return;
+  }
   ++this->crash_count;
-  this->is_down = true;
   this->restart_port = this->listener.port();
   this->queued.clear();
   for (const auto& weak : std::exchange(this->sessions, {})) {
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -402,7 +402,7 @@
 
 void Soak::DisturbReplica(Replica& replica) {
   ReplicaFaults faults;
-  switch (this->random.Below(7)) {
+  switch (this->random.Below(8)) {
     case 0:
       faults.broken_streams = 0.5;
       if (this->random.Chance(0.5)) {
@@ -422,7 +422,11 @@
     case 4:
       faults.is_unresponsive = true;
       break;
-    case 5: {
+    case 5:
+      this->LogFault("crash " + replica.standin->id());
+      replica.standin->Crash(this->RandomFaultDuration());
+      return;
+    case 6: {
       this->LogFault("drain " + replica.standin->id());
       this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
                                   replica.proxy->port(), "draining");
