--- a/Services/Daemon/daemon.cc
+++ b/Services/Daemon/daemon.cc
@@ -330,6 +330,7 @@
 void Daemon::Cancel(const EngineRun& run,
                     TimePoint decision_time,
                     std::chrono::milliseconds retry_delay) {
+  const Duration time_to_begin = MonotonicNow() - decision_time;
   const auto is_pending = [this, &run] {
     std::lock_guard lock(this->mutex);
     return this->decisions.IsCancelPending(run);
@@ -344,6 +345,7 @@
     const Duration time_to_response = MonotonicNow() - decision_time;
     LogEvent(Event::kStreamCancelled,
              {{"attempt", run.attempt},
+              {"begun_us", std::to_string(time_to_begin.count())},
               {"sent_us", std::to_string(time_to_send.count())},
               {"answered_us", std::to_string(time_to_response.count())}});
     return;
--- a/Tests/Processes/daemon_test.cc
+++ b/Tests/Processes/daemon_test.cc
@@ -343,6 +343,8 @@
   const std::string log = this->fleet.ReadLogFile("daemon");
   const auto answered = NumbersAfter(log, "answered_us=");
   CHECK(answered.size() > cancel_latencies.size());
+  PrintTimes("cancel decision to begin of the cancel",
+             NumbersAfter(log, "begun_us="));
   CHECK(PrintTimes("cancel decision to request sent",
                    NumbersAfter(log, "sent_us=")) < kTargetUs);
   CHECK(PrintTimes("cancel decision to response", answered) < 4 * kTargetUs);
