Bound what outdated reports add; count suspects, not all parts with evidence

Cause: found by reading. Change: the bound holds after each report; suspects() replaces has_suspects(). Measured: TestLibServing 78 of 78, with OutdatedReportsAreBounded.

--- a/Libraries/LibServing/crash_evidence.cc
+++ b/Libraries/LibServing/crash_evidence.cc
@@ -276,7 +276,7 @@
       has_changed = true;
     }
   }
-  if (has_changed) {
+  if (has_changed || this->entries.size() > this->options.maximum_parts) {
     this->OnChange(false);
   }
 }
@@ -306,10 +306,10 @@
   }
 }
 
-bool CrashEvidence::has_suspects() const {
-  return std::any_of(
+std::size_t CrashEvidence::suspects() const {
+  return static_cast<std::size_t>(std::count_if(
       this->entries.begin(), this->entries.end(),
-      [](const auto& item) { return !item.second.crashes.empty(); });
+      [](const auto& item) { return !item.second.crashes.empty(); }));
 }
 
 std::vector<BlockChange> CrashEvidence::TakeChanges() {
--- a/Libraries/LibServing/crash_evidence.h
+++ b/Libraries/LibServing/crash_evidence.h
@@ -122,8 +122,8 @@
   /// Number of changes, and of those among them that this host has seen itself.
   std::uint64_t changes_known() const { return this->change_count; }
   std::uint64_t own_changes() const { return this->own_change_count; }
-  /// True while crashes count against any part.
-  bool has_suspects() const;
+  /// Number of parts that crashes count against, and of all with evidence.
+  std::size_t suspects() const;
   std::size_t size() const { return this->entries.size(); }
   const std::vector<BlockedParts>& blocked() const {
     return this->blocked_parts;
--- a/Services/Gateway/crash_watch.cc
+++ b/Services/Gateway/crash_watch.cc
@@ -78,7 +78,7 @@
   LogEvent(Event::kReplicaCrashed,
            {{"replica", replica},
             {"requests", std::to_string(requests.size())},
-            {"suspects", std::to_string(this->evidence.size())}});
+            {"suspects", std::to_string(this->evidence.suspects())}});
   if (this->on_crash) {
     this->on_crash();
   }
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -392,7 +392,7 @@
   add("crocus_batch_items_running", this->batch_service->runner().running());
   add("crocus_batch_results_unwritten", this->batch_service->unwritten());
   add("crocus_replica_crashes_total", this->crash_watch.crashes());
-  add("crocus_crash_suspects", this->crash_evidence.size());
+  add("crocus_crash_suspects", this->crash_evidence.suspects());
   add("crocus_blocked_prompt_parts", this->crash_evidence.blocked().size());
   add("crocus_configuration_version", this->config ? this->config->version : 0);
   session->Respond(http_status::kOk,
--- a/Tests/LibServing/crash_evidence_test.cc
+++ b/Tests/LibServing/crash_evidence_test.cc
@@ -231,10 +231,22 @@
         .trials = 4'000'000'000U,
         .trial_age_ms = -7}},
       this->now);
-  CHECK_FALSE(this->evidence.has_suspects());
+  CHECK_EQUAL(0U, this->evidence.suspects());
   CHECK_FALSE(IsBlocked(this->evidence, {"p"}, this->now));
 }
 
+// Guards against peers whose outdated reports fill the memory.
+TEST(CrashEvidence_OneHost, OutdatedReportsAreBounded) {
+  for (int i = 0; i < 500; ++i) {
+    this->evidence.Merge(
+        {{.part = "p" + std::to_string(i),
+          .crashes = {{.replica_hash = 1, .age_ms = 3'000'000}},
+          .served_age_ms = -1}},
+        this->now);
+  }
+  CHECK_TRUE(this->evidence.size() <= 96);
+}
+
 TEST_GROUP(CrashEvidence_ReportsInAnyOrder){};
 
 // Guards against hosts that decide differently after the same reports, since
