Lift the crashes behind a block, not one part of it

What operators would have seen: after the block of two parts with the same crashes was lifted by one of them, the other was blocked alone, and sound requests with it were refused. Cause: a lift cleared one part, and its crashes, which it had explained, then counted against the others. Change: a lift clears every part of the crashes behind the block, on all hosts.

--- a/Libraries/LibServing/crash_evidence.cc
+++ b/Libraries/LibServing/crash_evidence.cc
@@ -34,6 +34,10 @@
   return now - std::chrono::milliseconds(age_ms);
 }
 
+bool Contains(const std::vector<std::string>& parts, const std::string& part) {
+  return std::find(parts.begin(), parts.end(), part) != parts.end();
+}
+
 }  // namespace
 
 bool CrashEvidence::IsSameCrash(const Crash& left, const Crash& right) const {
@@ -164,14 +168,27 @@
 }
 
 bool CrashEvidence::Lift(const std::string& part, TimePoint now) {
-  const auto found = this->entries.find(part);
-  if (found == this->entries.end()) {
+  std::vector<Crash> lifted;
+  for (const auto& blocked : this->blocked_parts) {
+    if (Contains(blocked.parts, part)) {
+      const auto& crashes = this->entries.at(blocked.parts.front()).crashes;
+      lifted.insert(lifted.end(), crashes.begin(), crashes.end());
+    }
+  }
+  if (lifted.empty()) {
     return false;
   }
-  this->served_parts[part] = now;
-  if (this->AddServed(found->second, now)) {
-    this->OnChange(true);
+  for (auto& [name, entry] : this->entries) {
+    const bool has_lifted_crash =
+        std::any_of(lifted.begin(), lifted.end(),
+                    [&entry = entry, this](const Crash& crash) {
+                      return this->HasCrash(entry, crash);
+                    });
+    if (has_lifted_crash) {
+      this->AddServed(entry, now);
+    }
   }
+  this->OnChange(true);
   return true;
 }
 
@@ -181,10 +198,9 @@
     std::size_t hosts,
     double chance) {
   for (const auto& blocked : this->blocked_parts) {
-    const bool has_all = std::all_of(
-        blocked.parts.begin(), blocked.parts.end(), [&](const auto& part) {
-          return std::find(parts.begin(), parts.end(), part) != parts.end();
-        });
+    const bool has_all =
+        std::all_of(blocked.parts.begin(), blocked.parts.end(),
+                    [&](const auto& part) { return Contains(parts, part); });
     if (!has_all) {
       continue;
     }
@@ -336,9 +352,7 @@
 bool CrashEvidence::IsBlocked(const std::string& part) const {
   return std::any_of(this->blocked_parts.begin(), this->blocked_parts.end(),
                      [&part](const BlockedParts& blocked) {
-                       return std::find(blocked.parts.begin(),
-                                        blocked.parts.end(),
-                                        part) != blocked.parts.end();
+                       return Contains(blocked.parts, part);
                      });
 }
 
--- a/Libraries/LibServing/crash_evidence.h
+++ b/Libraries/LibServing/crash_evidence.h
@@ -99,8 +99,8 @@
   /// A replica has served a request with these shared parts: its response is
   /// complete, or has been arriving for a while.
   void OnServed(const std::vector<std::string>& parts, TimePoint now);
-  /// An operator states that the part is not at fault. Like a served
-  /// request, it counts on all hosts. False if nothing is known of the part.
+  /// An operator lifts every block with the part. The crashes behind them count
+  /// against no part any more, on all hosts. False if no block has the part.
   bool Lift(const std::string& part, TimePoint now);
 
   /// The blocked parts that the request has, or none if it may be sent. If
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -47,7 +47,7 @@
   void HandleReady(const std::shared_ptr<ServerSession>& session,
                    const Request& request);
   void HandleMetrics(const std::shared_ptr<ServerSession>& session);
-  /// Lists the blocked parts (GET), or lifts the block of one (DELETE).
+  /// Lists the blocked parts (GET), or lifts the blocks with one (DELETE).
   void HandleBlockedParts(const std::shared_ptr<ServerSession>& session,
                           const Request& request);
   void LogBlockChanges();
--- a/Tests/LibServing/crash_evidence_test.cc
+++ b/Tests/LibServing/crash_evidence_test.cc
@@ -155,6 +155,25 @@
   CHECK_EQUAL(3U, changes[1].blocked.crashes);
 }
 
+// Guards against a lift that blocks the other parts of the same crashes
+// instead.
+TEST(CrashEvidence_OneHost, LiftedCrashesDoNotCountAgainstOtherParts) {
+  this->Crash({"dead"});
+  for (int i = 0; i < 4; ++i) {
+    this->Crash({"dead", "twin", "victim"});
+  }
+  this->Crash({"dead", "twin"});
+  CHECK_TRUE(IsBlocked(this->evidence, {"dead"}, this->now));
+  CHECK_TRUE(this->evidence.Lift("dead", this->now));
+  CrashEvidence peer;
+  peer.Merge(this->evidence.Report(this->now), this->now);
+  for (auto* evidence : {&this->evidence, &peer}) {
+    CHECK_FALSE(IsBlocked(*evidence, {"dead"}, this->now));
+    CHECK_FALSE(IsBlocked(*evidence, {"twin"}, this->now));
+    CHECK_FALSE(IsBlocked(*evidence, {"victim"}, this->now));
+  }
+}
+
 // Guards against callers who fill the memory, or displace the evidence against
 // a part, with new ids.
 TEST(CrashEvidence_OneHost, ManyPartIdsAreBoundedAndDoNotHideTheFault) {
