Keep the same crashes of a part on all hosts

Seen: in virtual time, 44 to 176 hosts that had blocked a part went on reporting changes to each other: 7.3 to 8.2 datagrams a second and host, 4 expected. Cause: of more than 16 crashes each host dropped the one closest to another in time. Times differ by the delays of the reports, so hosts kept different ones, and each report brought one back and dropped another. Change: the crashes of the replicas with the lowest hashes are kept.

--- a/Libraries/LibServing/crash_evidence.cc
+++ b/Libraries/LibServing/crash_evidence.cc
@@ -96,17 +96,11 @@
       [](const Crash& a, const Crash& b) { return a.time < b.time; });
   entry.crashes.insert(position, crash);
   if (entry.crashes.size() > this->options.maximum_crashes) {
-    std::size_t closest = 1;
-    for (std::size_t i = 2; i < entry.crashes.size(); ++i) {
-      const auto gap_before = [&entry](std::size_t index) {
-        return entry.crashes[index].time - entry.crashes[index - 1].time;
-      };
-      if (gap_before(i) < gap_before(closest)) {
-        closest = i;
-      }
-    }
-    entry.crashes.erase(entry.crashes.begin() +
-                        static_cast<std::ptrdiff_t>(closest));
+    entry.crashes.erase(
+        std::max_element(entry.crashes.begin(), entry.crashes.end(),
+                         [](const Crash& a, const Crash& b) {
+                           return a.replica_hash < b.replica_hash;
+                         }));
   }
   return entry.crashes != before;
 }
--- a/Libraries/LibServing/crash_evidence.h
+++ b/Libraries/LibServing/crash_evidence.h
@@ -41,8 +41,8 @@
   Duration trial_spread = std::chrono::seconds(10);
   /// Parts with crashes; those with the least evidence are dropped first.
   std::size_t maximum_parts = 96;
-  /// Crashes that are kept of a part. Those closest to others in time, which
-  /// add least to the evidence, are dropped first.
+  /// Crashes that are kept of a part: those of the replicas with the lowest
+  /// hashes, so that all hosts keep the same ones.
   std::size_t maximum_crashes = 16;
   /// Parts in a report to other hosts.
   std::size_t maximum_reported_parts = 64;
