Refresh the evidence on crashes at a share of the hosts

Cause: while a part is blocked, every host sent the evidence each second to all that get its reports, and each zone passed on what it knew: the square of a zone's hosts. A new peer got it from every host of the fleet. Found by reading. Change: each host sends refreshes to four hosts a second on average, a zone passes on news only, and a new peer gets the evidence from those that report to it. Changes still go to all receivers, at most as often as load reports.

--- a/Libraries/LibServing/repeated_update.cc
+++ b/Libraries/LibServing/repeated_update.cc
@@ -1,25 +1,33 @@
 #include "LibServing/repeated_update.h"
 
+#include <algorithm>
+
 namespace crocus {
 
-bool RepeatedUpdate::Take(std::uint64_t version,
-                          bool is_needed,
-                          TimePoint now) {
+double RepeatedUpdate::TakeShare(std::uint64_t version,
+                                 bool is_needed,
+                                 std::size_t receivers,
+                                 TimePoint now) {
   if (version != this->last_version) {
     this->last_version = version;
     this->sends_left = this->options.sends_per_change;
   }
   const Duration since = now - this->last_sent;
-  const bool is_due =
-      this->sends_left > 0
-          ? since >= this->options.minimum_interval
-          : is_needed && since >= this->options.refresh_interval;
-  if (!is_due) {
-    return false;
+  if (this->sends_left > 0) {
+    if (since < this->options.minimum_interval) {
+      return 0;
+    }
+    --this->sends_left;
+    this->last_sent = now;
+    return 1;
+  }
+  if (!is_needed || since < this->options.refresh_interval) {
+    return 0;
   }
-  this->sends_left -= this->sends_left > 0 ? 1 : 0;
   this->last_sent = now;
-  return true;
+  return std::min(1.0,
+                  this->options.refreshes_per_receiver /
+                      static_cast<double>(std::max<std::size_t>(receivers, 1)));
 }
 
 }  // namespace crocus
--- a/Libraries/LibServing/report_plan.cc
+++ b/Libraries/LibServing/report_plan.cc
@@ -49,12 +49,18 @@
   return static_cast<std::size_t>(active) > this->options.maximum_direct_peers;
 }
 
+bool ReportPlan::IsDirectReceiver(const std::string& address,
+                                  TimePoint now) const {
+  const auto found = this->peers.find(address);
+  return found != this->peers.end() &&
+         this->ReachesDirectly(found->second, this->uses_zone_reports(now));
+}
+
 std::vector<std::string> ReportPlan::TakeDirectReceivers(TimePoint now) {
   const bool is_zone_only = this->uses_zone_reports(now);
   std::vector<std::string> receivers;
   for (auto& [address, peer] : this->peers) {
-    if (is_zone_only && !peer.zone.empty() &&
-        peer.zone != this->options.own_zone) {
+    if (!this->ReachesDirectly(peer, is_zone_only)) {
       continue;
     }
     if (now - peer.last_heard > this->options.idle_peer_threshold &&
@@ -73,8 +79,7 @@
       this->peers.begin(), this->peers.end(), [&](const auto& entry) {
         const Peer& peer = entry.second;
         return now - peer.last_heard <= this->options.idle_peer_threshold &&
-               (!is_zone_only || peer.zone.empty() ||
-                peer.zone == this->options.own_zone);
+               this->ReachesDirectly(peer, is_zone_only);
       });
   return std::max<Duration>(
       this->options.minimum_interval,
--- a/Libraries/LibServing/report_plan.h
+++ b/Libraries/LibServing/report_plan.h
@@ -65,6 +65,9 @@
   /// each host's own.
   bool uses_zone_reports(TimePoint now) const;
 
+  /// True if the peer gets this host's own reports.
+  bool IsDirectReceiver(const std::string& address, TimePoint now) const;
+
   /// Addresses that get a report of this host now, and notes that they got it.
   std::vector<std::string> TakeDirectReceivers(TimePoint now);
 
@@ -98,6 +101,12 @@
     return now - peer.last_heard <= this->options.peer_lifetime;
   }
 
+  /// Hosts of a zone that is not known yet get each host's own reports.
+  bool ReachesDirectly(const Peer& peer, bool uses_zones) const {
+    return !uses_zones || peer.zone.empty() ||
+           peer.zone == this->options.own_zone;
+  }
+
   const ReportPlanOptions options;
   /// By their addresses.
   std::map<std::string, Peer> peers;
--- a/Services/Gateway/peer_exchange.cc
+++ b/Services/Gateway/peer_exchange.cc
@@ -60,7 +60,8 @@
       socket(loop),
       timer(loop),
       zone_timer(loop),
-      sender(SystemRandom()) {}
+      sender(SystemRandom()),
+      random(SystemRandom()) {}
 
 Result<void> PeerExchange::Open(const PeerExchangeOptions& options) {
   boost::system::error_code error;
@@ -106,7 +107,8 @@
   LogEvent(Event::kPeerChanged,
            {{"address", address}, {"zone", zone}, {"state", "known"}});
   // The peer may have started after the crashes.
-  if (this->crash_evidence.size() > 0) {
+  if (this->crash_evidence.size() > 0 &&
+      this->plan->IsDirectReceiver(address, BootTimeNow())) {
     this->SendTo(address, this->EncodeCrashEvidence(true));
   }
 }
@@ -167,17 +169,15 @@
   this->has_unreported_change = false;
   this->last_sent = BootTimeNow();
   const std::string bytes = Encode(this->MakeHostReport());
-  const bool sends_evidence = this->direct_evidence.Take(
-      this->crash_evidence.own_changes(),
-      !this->crash_evidence.blocked().empty(), this->last_sent);
-  const std::string evidence =
-      sends_evidence ? this->EncodeCrashEvidence(true) : std::string();
-  for (const auto& address : this->plan->TakeDirectReceivers(this->last_sent)) {
+  const auto receivers = this->plan->TakeDirectReceivers(this->last_sent);
+  for (const auto& address : receivers) {
     this->SendTo(address, bytes);
-    if (sends_evidence) {
-      this->SendTo(address, evidence);
-    }
   }
+  this->SendCrashEvidence(
+      receivers, true,
+      this->direct_evidence.TakeShare(this->crash_evidence.own_changes(),
+                                      !this->crash_evidence.blocked().empty(),
+                                      receivers.size(), this->last_sent));
   this->Schedule(kMaximumReportInterval);
 }
 
@@ -202,15 +202,26 @@
     report.members.push_back(HashBytes(mate));
   }
   const std::string bytes = EncodeFrame(MakeFrame(report));
-  const bool sends_evidence =
-      this->zone_evidence.Take(this->crash_evidence.changes_known(),
-                               !this->crash_evidence.blocked().empty(), now);
-  const std::string evidence =
-      sends_evidence ? this->EncodeCrashEvidence(false) : std::string();
-  for (const auto& address :
-       this->plan->ZoneReportReceivers(report.sequence, now)) {
+  const auto receivers = this->plan->ZoneReportReceivers(report.sequence, now);
+  for (const auto& address : receivers) {
     this->SendTo(address, bytes);
-    if (sends_evidence) {
+  }
+  this->SendCrashEvidence(
+      receivers, false,
+      this->zone_evidence.TakeShare(this->crash_evidence.changes_known(),
+                                    !this->crash_evidence.blocked().empty(),
+                                    receivers.size(), now));
+}
+
+void PeerExchange::SendCrashEvidence(const std::vector<std::string>& receivers,
+                                     bool is_relayed,
+                                     double share) {
+  if (share == 0) {
+    return;
+  }
+  const std::string evidence = this->EncodeCrashEvidence(is_relayed);
+  for (const auto& address : receivers) {
+    if (this->random.Chance(share)) {
       this->SendTo(address, evidence);
     }
   }
@@ -231,12 +242,12 @@
     return;
   }
   const TimePoint now = BootTimeNow();
+  const std::uint64_t known_before = this->crash_evidence.changes_known();
   this->crash_evidence.Merge(report->parts, now);
-  if (!report->is_relayed && report->availability_zone != this->own_zone) {
-    const std::string relayed = this->EncodeCrashEvidence(true);
-    for (const auto& mate : this->plan->ZoneMates(now)) {
-      this->SendTo(mate, relayed);
-    }
+  const bool is_news = this->crash_evidence.changes_known() != known_before;
+  if (is_news && !report->is_relayed &&
+      report->availability_zone != this->own_zone) {
+    this->SendCrashEvidence(this->plan->ZoneMates(now), true, 1);
   }
 }
 
--- a/Services/Gateway/peer_exchange.h
+++ b/Services/Gateway/peer_exchange.h
@@ -14,6 +14,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "LibCore/random.h"
 #include "LibCore/result.h"
 #include "LibCore/time.h"
 #include "LibMessages/messages.h"
@@ -100,7 +101,13 @@
   messages::OutstandingReport MakeHostReport();
   void SendReports();
   void SendZoneReport();
-  /// The evidence on crashes as a frame.
+  /// Sends the evidence on crashes to that share of the receivers, drawn at
+  /// random.
+  void SendCrashEvidence(const std::vector<std::string>& receivers,
+                         bool is_relayed,
+                         double share);
+  /// The evidence on crashes as a frame. `is_relayed` is false if the receiver
+  /// passes it on within its zone.
   std::string EncodeCrashEvidence(bool is_relayed) const;
   void OnCrashReport(const std::string& address, std::string_view bytes);
   void SendTo(const std::string& address, const std::string& bytes);
@@ -119,6 +126,7 @@
   boost::asio::steady_timer zone_timer;
   /// Identifies this process in its reports; drawn at random at its start.
   const std::uint64_t sender;
+  Random random;
   std::uint64_t sequence = 0;
   std::string own_peer_address;
   std::string own_zone;
--- a/Tests/LibServing/crash_evidence_test.cc
+++ b/Tests/LibServing/crash_evidence_test.cc
@@ -504,13 +504,26 @@
         Datagram{.receiver = receiver, .relays = relays, .report = report});
   }
 
-  void SendToMates(int host,
-                   const std::vector<messages::PartEvidence>& report) {
+  std::vector<int> MatesOf(int host) const {
+    std::vector<int> mates;
     for (std::size_t i = 0; i < this->hosts.size(); ++i) {
       const int other = static_cast<int>(i);
       if (other != host &&
           (!this->uses_zones() || this->ZoneOf(other) == this->ZoneOf(host))) {
-        this->Transmit(other, false, report);
+        mates.push_back(other);
+      }
+    }
+    return mates;
+  }
+
+  void SendToMates(int host, double share) {
+    if (share == 0) {
+      return;
+    }
+    const auto report = this->hosts[host]->evidence.Report(this->now);
+    for (const int mate : this->MatesOf(host)) {
+      if (this->random.Chance(share)) {
+        this->Transmit(mate, false, report);
       }
     }
   }
@@ -520,31 +533,38 @@
     const bool is_needed = !host.evidence.blocked().empty();
     if (this->now >= host.next_direct) {
       host.next_direct = this->now + milliseconds(250);
-      if (host.direct.Take(host.evidence.own_changes(), is_needed, this->now)) {
-        this->SendToMates(index, host.evidence.Report(this->now));
-      }
+      const std::size_t mates =
+          (this->uses_zones() ? this->options.hosts_per_zone
+                              : this->hosts.size()) -
+          1;
+      this->SendToMates(
+          index, host.direct.TakeShare(host.evidence.own_changes(), is_needed,
+                                       mates, this->now));
     }
-    if (this->uses_zones() && index % this->options.hosts_per_zone == 0 &&
-        this->now >= host.next_zone) {
-      host.next_zone = this->now + milliseconds(100);
-      if (host.zone.Take(host.evidence.changes_known(), is_needed, this->now)) {
-        for (int zone = 0; zone < this->options.zones; ++zone) {
-          if (zone != this->ZoneOf(index)) {
-            const int first = zone * this->options.hosts_per_zone;
-            this->Transmit(first + static_cast<int>(this->random.Below(
-                                       this->options.hosts_per_zone)),
-                           true, host.evidence.Report(this->now));
-          }
-        }
+    if (!this->uses_zones() || index % this->options.hosts_per_zone != 0 ||
+        this->now < host.next_zone) {
+      return;
+    }
+    host.next_zone = this->now + milliseconds(100);
+    const double share = host.zone.TakeShare(
+        host.evidence.changes_known(), is_needed,
+        static_cast<std::size_t>(this->options.zones) - 1, this->now);
+    for (int zone = 0; zone < this->options.zones; ++zone) {
+      if (zone != this->ZoneOf(index) && this->random.Chance(share)) {
+        const int first = zone * this->options.hosts_per_zone;
+        this->Transmit(first + static_cast<int>(this->random.Below(
+                                   this->options.hosts_per_zone)),
+                       true, host.evidence.Report(this->now));
       }
     }
   }
 
   void Receive(const Datagram& datagram) {
     Host& host = *this->hosts[datagram.receiver];
+    const auto known_before = host.evidence.changes_known();
     host.evidence.Merge(datagram.report, this->now);
-    if (datagram.relays) {
-      this->SendToMates(datagram.receiver, host.evidence.Report(this->now));
+    if (datagram.relays && host.evidence.changes_known() != known_before) {
+      this->SendToMates(datagram.receiver, 1);
     }
   }
 
@@ -615,7 +635,7 @@
 }
 
 // Guards against traffic that grows with the square of the number of hosts.
-TEST(CrashEvidence_Fleet, DatagramsPerHostAreBoundedInLargeFleets) {
+TEST(CrashEvidence_Fleet, DatagramsPerHostDoNotGrowWithTheZones) {
   std::vector<double> per_host;
   for (const int zones : {2, 4, 8}) {
     VirtualFleet fleet({.zones = zones,
@@ -630,4 +650,26 @@
   CHECK_TRUE(per_host[2] < per_host[0] * 2);
 }
 
+// Guards against refreshes from each host of a zone to all others.
+TEST(CrashEvidence_Fleet, RefreshesPerHostDoNotGrowWithTheZone) {
+  for (const int hosts : {22, 44, 88}) {
+    VirtualFleet fleet({.zones = 2,
+                        .hosts_per_zone = hosts,
+                        .replicas = 100,
+                        .sound_rate = 400,
+                        .faulty_rate = 20,
+                        .unrelated_crashes = 0});
+    fleet.Run(seconds(8));
+    fleet.Run(seconds(3), false);
+    fleet.datagrams = 0;
+    constexpr double kSeconds = 8;
+    fleet.Run(seconds(8), false);
+    const double per_host_and_second = static_cast<double>(fleet.datagrams) /
+                                       static_cast<double>(fleet.host_count()) /
+                                       kSeconds;
+    // Each host gets four refreshes a second.
+    CHECK_TRUE(per_host_and_second < 6);
+  }
+}
+
 }  // namespace crocus
