Check that the resumed item reaches the replica that crashes before its first event

Cause: EmptyUnframedStreamDoesNotCompleteAResumedItem waited up to 5 s for a third run and didn't check that it came; with the check it never came within 10 s, as both replicas were in backoff. So the test could pass without its case. Change: one item, first at the replica that cuts its stream, then at the one that ends it before the first event; both steps are checked.

--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -107,18 +107,23 @@
 // Guards against a completed item whose text ends where its first replica
 // crashed, because a second one crashed before its first event.
 TEST(GatewayBatch_TwoGateways, EmptyUnframedStreamDoesNotCompleteAResumedItem) {
-  this->fleet.replicas[0]->set_faults(
-      {.broken_streams = 1, .unframed_streams = 1});
-  this->fleet.replicas[1]->set_faults({.empty_streams = 1});
-  CHECK_EQUAL(202U,
-              StatusOf(this->fleet.Submit("a", "cut", MakeItemIds("c", 6))));
-  this->fleet.RunUntil([this] { return this->fleet.RunsOf("c5") > 2; },
-                       std::chrono::seconds(5));
-  for (const auto& replica : this->fleet.replicas) {
-    replica->set_faults({});
-  }
-  CHECK_TRUE(this->WaitForResults("b", "cut", 6));
-  this->CheckComplete(this->fleet.ReadResults("b", "cut"), 6);
+  const auto& first = this->fleet.replicas[0];
+  const auto& second = this->fleet.replicas[1];
+  first->set_faults({.broken_streams = 1, .unframed_streams = 1});
+  second->set_faults({.empty_streams = 1});
+  this->fleet.UnregisterReplica("i-2");
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "cut", {"c0"})));
+  CHECK_TRUE(
+      this->fleet.RunUntil([&first] { return first->runs().contains("c0"); }));
+  this->fleet.RegisterReplica("i-2", "model", second->port(), "ready");
+  CHECK_TRUE(this->fleet.RunUntil(
+      [&second] { return second->runs().contains("c0"); }));
+  this->fleet.RunFor(std::chrono::milliseconds(200));
+  first->set_faults({});
+  second->set_faults({});
+  CHECK_TRUE(this->WaitForResults("b", "cut", 1));
+  this->CheckComplete(this->fleet.ReadResults("b", "cut"), 1);
 }
 
 // Guards against accepting a job a second time when its caller sends it again.
