Give the tests' fleet a second batch route and configurations without one

PublishConfig and Submit took these as trailing parameters with defaults.

Change: both take an option struct. The fleet's configuration has the batch routes "batch" on the endpoint model and "desk-batch" on desk. No check is changed.

--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -290,7 +290,7 @@
   }
   for (const std::string job : {"j1", "j2", "j3", "j4", "j5", "j6"}) {
     CHECK_EQUAL(202U,
-                StatusOf(this->fleet.Submit("a", job, {job + "-i"}, body)));
+                StatusOf(this->fleet.Submit("a", job, {job + "-i"}, {.body = body})));
   }
   this->fleet.RunFor(std::chrono::milliseconds(500));
   this->fleet.store.set_faults({.rejects_joins = true});
--- a/Tests/Gateway/crashing_part_test.cc
+++ b/Tests/Gateway/crashing_part_test.cc
@@ -63,7 +63,7 @@
   const std::string item = "long" + std::to_string(suffix);
   CHECK_EQUAL(202U, this->fleet
                         .Submit("a", "unlucky", {item},
-                                "q83vEjRWeJA=", "9c2e41:300,5d07b8:240")
+                                {.prompt_prefix = "9c2e41:300,5d07b8:240"})
                         ->head.status);
   for (std::uint32_t run = 1; run <= 3; ++run) {
     CHECK_TRUE(this->fleet.RunUntil(
@@ -216,11 +216,11 @@
 
 // Guards against batch items that crash one replica after the other.
 TEST(Gateway_CrashingPromptPart, BatchItemsWithThePartDoNotRunAgainAndAgain) {
-  CHECK_EQUAL(202U,
-              this->fleet
-                  .Submit("a", "deadly", {"item0", "item1"}, "q83vEjRWeJA=",
-                          "f1:200," + kCrashingPart + ":40,5e57:20")
-                  ->head.status);
+  CHECK_EQUAL(202U, this->fleet
+                        .Submit("a", "deadly", {"item0", "item1"},
+                                {.prompt_prefix =
+                                     "f1:200," + kCrashingPart + ":40,5e57:20"})
+                        ->head.status);
   CHECK_TRUE(this->fleet.RunUntil([this] { return this->Crashes() >= 3; }));
   this->fleet.RunFor(kStableWindow);
   const std::uint32_t crashes = this->Crashes();
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -205,11 +205,11 @@
 
 // Guards against an older configuration replacing a newer one.
 TEST(Gateway_TwoReplicas, OlderConfigurationIsNotApplied) {
-  this->fleet.PublishConfig(9, "extra");
+  this->fleet.PublishConfig({.version = 9, .extra_path = "extra"});
   CHECK_TRUE(this->fleet.RunUntil(
       [this] { return StatusOf(this->Send("extra", "plain-e1")) == kOk; },
       std::chrono::milliseconds(1500)));
-  this->fleet.PublishConfig(8);
+  this->fleet.PublishConfig({.version = 8});
   this->fleet.RunFor(std::chrono::milliseconds(500));
   CHECK_EQUAL(kOk, StatusOf(this->Send("extra", "plain-e2")));
 }
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -56,7 +56,7 @@
 GatewayFleet::GatewayFleet(GatewayFleetOptions options)
     : store(this->loop, options.seed), pool(this->loop), options(options) {
   this->store.Start();
-  this->PublishConfig(7);
+  this->PublishConfig({.version = 7});
 }
 
 ReplicaStandin& GatewayFleet::AddReplica(const std::string& endpoint,
@@ -90,28 +90,34 @@
   this->store.Put("keyed.servers", id, std::nullopt);
 }
 
-void GatewayFleet::PublishConfig(std::uint64_t version,
-                                 const std::string& extra_path) {
+void GatewayFleet::PublishConfig(const FleetConfig& config) {
   json routes =
       json::array({RouteJson("stream", "streaming", "model", this->options),
                    RouteJson("resumable", "streaming", "model", this->options),
                    RouteJson("plain", "idempotent", "desk", this->options),
                    RouteJson("once", "non_idempotent", "desk", this->options)});
-  json batch = RouteJson("batch", "batch", "model", this->options);
-  batch["completion_target_ms"] = 18000;
-  batch["retention_s"] = this->options.batch_retention_seconds;
-  batch["max_count"] = this->options.waiting_token_limit;
-  routes.push_back(batch);
-  if (!extra_path.empty()) {
+  const auto add_batch_route = [this, &routes](const std::string& name,
+                                               const std::string& endpoint) {
+    json batch = RouteJson(name, "batch", endpoint, this->options);
+    batch["completion_target_ms"] = 18000;
+    batch["retention_s"] = this->options.batch_retention_seconds;
+    batch["max_count"] = this->options.waiting_token_limit;
+    routes.push_back(std::move(batch));
+  };
+  if (config.has_batch_routes) {
+    add_batch_route("batch", "model");
+    add_batch_route("desk-batch", "desk");
+  }
+  if (!config.extra_path.empty()) {
     routes.push_back(
-        RouteJson(extra_path, "idempotent", "desk", this->options));
+        RouteJson(config.extra_path, "idempotent", "desk", this->options));
   }
   const auto service = [](const std::string& name) {
     return json{{"name", name}, {"health_path", "/health"}, {"max_conns", 96}};
   };
   this->store.Put(
       "keyed.op", "config",
-      json{{"version", version},
+      json{{"version", config.version},
            {"routes", std::move(routes)},
            {"services", json::array({service("model"), service("desk")})},
            {"limits",
@@ -195,21 +201,21 @@
     const std::string& gateway,
     const std::string& job,
     const std::vector<std::string>& items,
-    const std::string& body,
-    const std::string& prefix) {
+    const JobOptions& job_options) {
   json list = json::array();
   for (const auto& item : items) {
     json headers = {{"X-Note", "n"}};
-    if (!prefix.empty()) {
-      headers[std::string(platform::header::kPromptPrefix)] = prefix;
+    if (!job_options.prompt_prefix.empty()) {
+      headers[std::string(platform::header::kPromptPrefix)] =
+          job_options.prompt_prefix;
     }
     list.push_back({{"id", item},
-                    {"path", "/batch/item"},
+                    {"path", "/" + job_options.route + "/item"},
                     {"headers", std::move(headers)},
-                    {"body", body},
+                    {"body", job_options.body},
                     {"tokens", 100}});
   }
-  return this->Send(gateway, MakeRequestHead("batch", job),
+  return this->Send(gateway, MakeRequestHead(job_options.route, job),
                     json{{"items", std::move(list)}}.dump());
 }
 
--- a/Tests/PlatformStandin/gateway_fleet.h
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -29,6 +29,25 @@
   std::uint16_t metrics_port = 0;
 };
 
+/// A configuration of the fleet: one route of each kind, and what is said here.
+struct FleetConfig {
+  std::uint64_t version = 0;
+  /// Path of one more route, which is idempotent; none if it is empty.
+  std::string extra_path;
+  /// Whether it has the batch routes "batch" and "desk-batch", whose items run
+  /// on the endpoints "model" and "desk".
+  bool has_batch_routes = true;
+};
+
+/// What a batch job has besides its items.
+struct JobOptions {
+  std::string route = "batch";
+  /// Body of each item, encoded in base64.
+  std::string body = "q83vEjRWeJA=";
+  /// Parts of the prompt of each item; none if it is empty.
+  std::string prompt_prefix;
+};
+
 /// Runs gateways as processes. The store and the replicas that they use run in
 /// the test's own event loop. The configuration has one route of each kind.
 class GatewayFleet {
@@ -46,9 +65,7 @@
                        const std::string& state);
   void UnregisterReplica(const std::string& id);
 
-  /// Publishes the configuration with that version, and with one more route if
-  /// `extra_path` is not empty.
-  void PublishConfig(std::uint64_t version, const std::string& extra_path = "");
+  void PublishConfig(const FleetConfig& config);
 
   /// Starts a gateway. Waits until it is ready, unless `store_port` is given,
   /// such as the port of a proxy before the store.
@@ -61,17 +78,15 @@
                                RequestHead head,
                                const std::string& body = "",
                                Duration timeout = std::chrono::seconds(5));
-  /// A request to the route of that kind: "stream", "resumable", "plain",
-  /// "once" or "batch".
+  /// A request to the route of that name: "stream", "resumable", "plain",
+  /// "once", "batch" or "desk-batch".
   static RequestHead MakeRequestHead(const std::string& kind,
                                      const std::string& id);
-  /// Submits a batch job whose items have the given ids and that body, which is
-  /// encoded in base64, and whose prompt has these parts.
+  /// Submits a batch job whose items have the given ids.
   Result<FetchedResponse> Submit(const std::string& gateway,
                                  const std::string& job,
                                  const std::vector<std::string>& items,
-                                 const std::string& body = "q83vEjRWeJA=",
-                                 const std::string& prefix = "");
+                                 const JobOptions& job_options = {});
   /// A page of a job's results as JSON, or null without a response of status
   /// 200.
   nlohmann::json ReadResults(const std::string& gateway,
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -249,7 +249,7 @@
       return;
     default:
       this->LogFault("configuration");
-      this->fleet.PublishConfig(++this->config_version);
+      this->fleet.PublishConfig({.version = ++this->config_version});
       return;
   }
 }
