Bound the framing of bodies, not only heads and bodies

Cause: the limits were tied to the state of the message. The input buffer was bounded only until the head was complete, and consumers bound the body's bytes. The lines between chunks and the trailer are neither, and the parser consumes nothing of them before their end.

Change: what the parser leaves in the buffer is always an incomplete head or framing, so one limit holds in every state: 64 KiB in ClientConnection (replicas and the store), header_bytes in ServerSession (callers). A refusal of a replica is final with its head: after 16 KiB of body its connection is closed and the request goes on elsewhere, instead of waiting until its time is over.

--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -20,6 +20,8 @@
 /// Interim (1xx) and mismatched responses before the awaited one. A server that
 /// sends them without end is given up.
 constexpr std::uint32_t kMaximumSkippedHeads = 16;
+/// Limit of a head, and of the framing of a body: chunk sizes, their
+/// extensions and the trailer.
 constexpr std::size_t kMaximumHeadBytes = 64 << 10;
 /// Idle timeout of a server that does not declare one; most servers keep
 /// connections for several seconds.
@@ -159,9 +161,14 @@
       return;
     }
     if (error == boost::beast::http::error::need_more) {
-      if (!this->parser->is_header_done() &&
-          this->input.size() > kMaximumHeadBytes) {
-        this->End(ExchangeEnd::kBrokenBeforeHead, "response head too large");
+      // Body bytes are consumed as they arrive, so the rest is an incomplete
+      // head or framing.
+      if (this->input.size() > kMaximumHeadBytes) {
+        if (this->head_delivered) {
+          this->End(ExchangeEnd::kBrokenInBody, "body framing too large");
+        } else {
+          this->End(ExchangeEnd::kBrokenBeforeHead, "response head too large");
+        }
         return;
       }
       break;
--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -96,6 +96,14 @@
       this->StartHandling();
       return;
     }
+    // Body bytes are consumed as they arrive, so the rest is an incomplete head
+    // or framing: a chunk size, its extension or the trailer. The parser itself
+    // limits only the head.
+    if (this->input.size() > limits.request.header_bytes) {
+      this->is_parsing = false;
+      this->RejectMalformed(http_status::kHeaderTooLarge);
+      return;
+    }
     if (this->parser->is_header_done()) {
       this->SetTimer(limits.idle_timeout);
       if (!this->sent_continue && this->parser->request().head.fields.HasToken(
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -16,6 +16,11 @@
 /// as served. Requests that crash replicas do so as their response begins.
 constexpr Duration kServedTime = std::chrono::milliseconds(250);
 
+/// Body bytes of a refusal after which its connection is closed. The head has
+/// said all that is needed; a short body is read so that the connection can be
+/// used again.
+constexpr std::size_t kMaximumRefusalBytes = 16u << 10;
+
 }  // namespace
 
 ReplicaAttempt::ReplicaAttempt(ForwardingContext& context,
@@ -74,7 +79,15 @@
 }
 
 void ReplicaAttempt::OnBody(std::string_view bytes) {
-  if (this->is_ended || !this->refusal_reason.empty()) {
+  if (this->is_ended) {
+    return;
+  }
+  if (!this->refusal_reason.empty()) {
+    this->refusal_bytes += bytes.size();
+    if (this->refusal_bytes > kMaximumRefusalBytes) {
+      this->connection->Cancel();
+      this->OnExchangeEnd(ExchangeEnd::kBrokenInBody, "refusal too large");
+    }
     return;
   }
   if (this->is_success && !this->is_noted_as_served) {
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -82,6 +82,7 @@
   bool is_noted_as_served = false;
   /// Set if the response declares that the request was not run; else empty.
   std::string refusal_reason;
+  std::size_t refusal_bytes = 0;
   /// True while `loads` counts this attempt.
   bool is_counted = false;
   bool is_ended = false;
--- a/Tests/Gateway/endless_bytes_test.cc
+++ b/Tests/Gateway/endless_bytes_test.cc
@@ -49,6 +49,51 @@
     return reply ? reply->head.status : 0;
   }
 
+  /// A chunked stream whose framing after `start` never ends must break off
+  /// well before the route's timeout of 3 s.
+  void CheckFramingIsGivenUp(const std::string& start,
+                             const std::string& repeated) {
+    this->Start("model",
+                {.start = SignedHead("Content-Type: text/event-stream\r\n"
+                                     "Transfer-Encoding: chunked\r\n") +
+                          start,
+                 .repeated = repeated});
+    const TimePoint begin = BootTimeNow();
+    CHECK_EQUAL(0U, this->Request("stream"));
+    CHECK(BootTimeNow() - begin < std::chrono::seconds(1));
+    this->CheckClosed();
+  }
+
+  /// All of many requests at once must be answered, within the memory of a
+  /// host.
+  void CheckMemoryOfConcurrentRequests() {
+    int answered = 0;
+    for (int i = 0; i < kConcurrentRequests; ++i) {
+      RequestHead head =
+          GatewayFleet::MakeRequestHead("once", "once-" + std::to_string(i));
+      Fetch(this->fleet.loop, this->fleet.pool,
+            {.pool_key = "a",
+             .server = {boost::asio::ip::address_v4::loopback(),
+                        this->fleet.CallerPort("a")},
+             .head = std::move(head),
+             .body = "",
+             .timeout = kAnswerLimit},
+            [&answered](auto reply) {
+              answered += reply && reply->head.status >= 500 ? 1 : 0;
+            });
+    }
+    std::uint64_t peak = 0;
+    CHECK(this->fleet.RunUntil(
+        [&] {
+          peak = std::max(peak, this->fleet.processes.ResidentBytes("a"));
+          return answered == kConcurrentRequests;
+        },
+        kAnswerLimit + std::chrono::seconds(1)));
+    CHECK(peak > 0);
+    CHECK(peak < kHostBytes);
+    this->CheckClosed();
+  }
+
   void CheckClosed() {
     CHECK(this->fleet.RunUntil(
         [this] { return this->servers.back().open_connections() == 0; },
@@ -72,37 +117,69 @@
   this->CheckClosed();
 }
 
+// Guards against memory that grows with a line between two chunks that never
+// ends: it is no part of a head or a body.
+TEST(Gateway_EndlessBytes, ChunkSizeWithoutEndIsGivenUp) {
+  this->CheckFramingIsGivenUp("", std::string(4096, '1'));
+}
+
+// Guards against memory that grows with the extension of a chunk.
+TEST(Gateway_EndlessBytes, ChunkExtensionWithoutEndIsGivenUp) {
+  this->CheckFramingIsGivenUp("5\r\n: ok\n\r\n4;e=", std::string(4096, 'x'));
+}
+
+// Guards against memory that grows with the fields after the last chunk.
+TEST(Gateway_EndlessBytes, TrailerWithoutEndIsGivenUp) {
+  this->CheckFramingIsGivenUp("0\r\n", "X-Field: 0123456789abcdef\r\n");
+}
+
+// Guards against memory that grows with the framing of many bodies at once.
+TEST(Gateway_EndlessBytes, FramingOfAllBodiesStaysWithinTheMemoryOfAHost) {
+  this->Start("desk", {.start = SignedHead("Transfer-Encoding: chunked\r\n"),
+                       .repeated = std::string(1u << 20, '1')});
+  this->CheckMemoryOfConcurrentRequests();
+}
+
+// Guards against an item that stays with a replica whose framing never ends.
+TEST(Gateway_EndlessBytes, ItemOfAReplicaWithEndlessFramingRunsElsewhere) {
+  this->Start("model", {.start = SignedHead("Transfer-Encoding: chunked\r\n"),
+                        .repeated = std::string(4096, '1')});
+  CHECK_EQUAL(202U, this->fleet.Submit("a", "job", {"item"})->head.status);
+  CHECK(this->fleet.RunUntil(
+      [this] { return this->servers.back().connections() > 0; }));
+  this->fleet.AddReplica("model", {.id = "i-good"});
+  CHECK(this->fleet.RunUntil(
+      [this] {
+        const auto page = this->fleet.ReadResults("a", "job");
+        return !page.is_null() && page["results"].size() == 1;
+      },
+      std::chrono::seconds(3)));
+}
+
+// Guards against waiting for the end of a refusal's body, which has no end,
+// until the time of the request is over.
+TEST(Gateway_EndlessBytes, RefusalWithEndlessBodyIsRetriedElsewhere) {
+  this->Start("desk",
+              {.start = "HTTP/1.1 503 Full\r\n" +
+                        std::string(platform::header::kNotExecuted) +
+                        ": 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+               .repeated = "4000\r\n" + std::string(0x4000, 'x') + "\r\n"});
+  CHECK_EQUAL(503U, this->Request("once"));
+  this->CheckClosed();
+  this->fleet.AddReplica("desk", {.id = "i-good"});
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  for (int i = 0; i < 4; ++i) {
+    CHECK_EQUAL(200U, this->Request("once"));
+  }
+}
+
 // Guards against memory that grows with a body that is collected before it is
 // passed on, until the kernel ends the process.
 TEST(Gateway_EndlessBytes, CollectedBodiesTogetherStayWithinTheMemoryOfAHost) {
   this->Start("desk",
               {.start = SignedHead("Transfer-Encoding: chunked\r\n"),
                .repeated = "4000\r\n" + std::string(0x4000, 'x') + "\r\n"});
-  int answered = 0;
-  for (int i = 0; i < kConcurrentRequests; ++i) {
-    RequestHead head =
-        GatewayFleet::MakeRequestHead("once", "once-" + std::to_string(i));
-    Fetch(this->fleet.loop, this->fleet.pool,
-          {.pool_key = "a",
-           .server = {boost::asio::ip::address_v4::loopback(),
-                      this->fleet.CallerPort("a")},
-           .head = std::move(head),
-           .body = "",
-           .timeout = kAnswerLimit},
-          [&answered](auto reply) {
-            answered += reply && reply->head.status >= 500 ? 1 : 0;
-          });
-  }
-  std::uint64_t peak = 0;
-  CHECK(this->fleet.RunUntil(
-      [&] {
-        peak = std::max(peak, this->fleet.processes.ResidentBytes("a"));
-        return answered == kConcurrentRequests;
-      },
-      kAnswerLimit + std::chrono::seconds(1)));
-  CHECK(peak > 0);
-  CHECK(peak < kHostBytes);
-  this->CheckClosed();
+  this->CheckMemoryOfConcurrentRequests();
 }
 
 // Guards against memory that grows with an event that never ends.
--- a/Tests/LibAsyncHttp/http_listener_test.cc
+++ b/Tests/LibAsyncHttp/http_listener_test.cc
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -115,4 +116,56 @@
   CHECK_EQUAL(0U, this->listener.open_sessions());
 }
 
+/// A listener whose callers send bytes without end.
+TEST_GROUP(HttpListener_EndlessBytes) {
+  boost::asio::io_context loop;
+  HttpListener listener{this->loop, [] { return SessionLimits(); },
+                        [](const auto& session, const auto&) {
+                          session->Respond(200, {}, "answer");
+                        }};
+
+  /// Sends `start`, then `repeated` again and again. Returns the number of
+  /// bytes until the connection is closed; none if it stays open.
+  std::optional<std::size_t> BytesUntilClosed(const std::string& start,
+                                              const std::string& repeated) {
+    constexpr std::size_t kEnough = 8u << 20;
+    CHECK(this->listener.Listen({boost::asio::ip::address_v4::loopback(), 0})
+              .has_value());
+    tcp::socket caller(this->loop);
+    caller.connect(
+        {boost::asio::ip::address_v4::loopback(), this->listener.port()});
+    boost::system::error_code error;
+    std::size_t sent =
+        boost::asio::write(caller, boost::asio::buffer(start), error);
+    while (sent < kEnough) {
+      sent += boost::asio::write(caller, boost::asio::buffer(repeated), error);
+      this->loop.restart();
+      this->loop.run_for(std::chrono::milliseconds(1));
+      if (error) {
+        return sent;
+      }
+    }
+    return std::nullopt;
+  }
+};
+
+// Guards against memory that grows with a caller's chunk size that never ends.
+TEST(HttpListener_EndlessBytes, ChunkSizeWithoutEndIsRejected) {
+  const auto bytes = this->BytesUntilClosed(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n",
+      std::string(4096, '1'));
+  CHECK(bytes.has_value());
+  CHECK(*bytes < (1u << 20));
+}
+
+// Guards against memory that grows with the fields after the last chunk.
+TEST(HttpListener_EndlessBytes, TrailerWithoutEndIsRejected) {
+  const auto bytes = this->BytesUntilClosed(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n",
+      "X-Field: 0123456789abcdef\r\n");
+  CHECK(bytes.has_value());
+  CHECK(*bytes < (1u << 20));
+}
+
 }  // namespace crocus
