Bound what the daemon collects from an engine or service

TokenReader kept an event that never ends, and SendHttp collected a body, until the call's time was over.

Change: an event of more than 128 KiB stops the stream, SendHttp aborts a body of more than 16 MiB. The daemon does not collect the weights any more, of which it uses only the status.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -86,7 +86,10 @@
 Result<HttpReply> SendHttp(const HttpCall& call) {
   std::string body;
   TRY_ASSIGN(HttpReply reply,
-             SendHttpStreaming(call, [&body](std::string_view part) {
+             SendHttpStreaming(call, [&call, &body](std::string_view part) {
+               if (body.size() + part.size() > call.maximum_body_bytes) {
+                 return false;
+               }
                body += part;
                return true;
              }));
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -18,6 +18,9 @@
   std::map<std::string, std::string> headers;
   std::string body;
   std::chrono::seconds timeout{10};
+  /// Size of the body after which SendHttp aborts the call. A server may send
+  /// bytes without end.
+  std::size_t maximum_body_bytes = 16u << 20;
 };
 
 /// Response to an HttpCall. Header names are in lower case.
--- a/Libraries/LibPlatform/token_reader.cc
+++ b/Libraries/LibPlatform/token_reader.cc
@@ -9,7 +9,7 @@
   for (;;) {
     const auto end = this->pending.find("\n\n");
     if (end == std::string::npos) {
-      return true;
+      return this->pending.size() <= kMaximumEventBytes;
     }
     const std::string event = this->pending.substr(0, end);
     this->pending.erase(0, end + 2);
--- a/Libraries/LibPlatform/token_reader.h
+++ b/Libraries/LibPlatform/token_reader.h
@@ -25,6 +25,9 @@
   bool is_cancelled() const { return this->cancelled; }
 
  private:
+  /// A server may send bytes without end that never complete an event.
+  static constexpr std::size_t kMaximumEventBytes = 128u << 10;
+
   bool OnEvent(const std::string& event);
 
   const TokenHandler& on_token;
--- a/Services/Daemon/command_runner.cc
+++ b/Services/Daemon/command_runner.cc
@@ -136,9 +136,11 @@
 
 std::chrono::milliseconds CommandRunner::RequestWeights(
     const messages::EngineCommand& command) {
-  const auto reply =
-      SendHttp({.url = this->weights_url + "/weights/" + command.argument,
-                .timeout = kWeightsTimeout});
+  // The weights are for the replica; this host only waits until they are there.
+  const auto reply = SendHttpStreaming(
+      {.url = this->weights_url + "/weights/" + command.argument,
+       .timeout = kWeightsTimeout},
+      [](std::string_view) { return true; });
   if (reply && reply->status == kOk) {
     return std::chrono::milliseconds(0);
   }
