Take no request that the end of a stopping gateway could cut off

Cause: whether a connection closes was decided when a response began. One that began before the SIGTERM kept its connection, and further requests were read from it up to the end of the process. Nothing compared the time that a request may take with the time that the process has left. Reads of batch results that wait were never answered, as the check for them ended with the SIGTERM.

Change: once the listener has closed, a connection closes with its response, unless the next request has arrived, which is answered. From then on a request whose timeout ends after the process is refused with 503 and Retry-After 0, before any replica has it. The check for waiting reads goes on.

--- a/Libraries/LibAsyncHttp/server_session.cc
+++ b/Libraries/LibAsyncHttp/server_session.cc
@@ -190,6 +190,11 @@
   this->FinishExchange();
 }
 
+bool ServerSession::has_next_request() const {
+  boost::beast::error_code error;
+  return this->input.size() > 0 || this->socket.available(error) > 0;
+}
+
 bool ServerSession::is_congested() const {
   return this->unsent.size() + this->in_flight.size() > kCongestedBytes;
 }
@@ -197,7 +202,10 @@
 void ServerSession::FinishExchange() {
   this->on_disconnect = nullptr;
   this->on_drained = nullptr;
-  if (!this->request_keeps_alive) {
+  // A response that began before CloseWhenIdle did not announce the close. A
+  // request that crosses the close is not read, so its caller may repeat it.
+  if (!this->request_keeps_alive ||
+      (this->closes_when_idle && !this->has_next_request())) {
     this->closes_after_write = true;
     this->WriteNext();
     return;
@@ -219,12 +227,7 @@
 void ServerSession::CloseWhenIdle() {
   this->closes_when_idle = true;
   if (this->state != State::kReading || this->parser ||
-      this->input.size() > 0) {
-    return;
-  }
-  boost::beast::error_code error;
-  if (this->socket.available(error) > 0) {
-    // A request has arrived and is read next.
+      this->has_next_request()) {
     return;
   }
   if (!this->has_received_request) {
--- a/Libraries/LibAsyncHttp/server_session.h
+++ b/Libraries/LibAsyncHttp/server_session.h
@@ -84,8 +84,9 @@
   /// progress is incomplete.
   void Abort();
 
-  /// Closes the connection as soon as no request is being handled. A new
-  /// connection is kept for a moment: its request may be on its way.
+  /// Closes the connection as soon as no request is being handled and none has
+  /// arrived. A new connection is kept for a moment: its request may be on its
+  /// way.
   void CloseWhenIdle();
 
   /// Makes each further response announce that the connection closes after it.
@@ -106,6 +107,8 @@
  private:
   enum class State { kReading, kHandling };
 
+  /// True if bytes have arrived that no request contains yet.
+  bool has_next_request() const;
   void Read();
   void Parse();
   void StartHandling();
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -496,7 +496,8 @@
 void BatchService::SchedulePendingReadCheck() {
   this->pending_read_timer.expires_after(kPendingReadCheckInterval);
   this->pending_read_timer.async_wait([this](const auto& error) {
-    if (!error && !this->is_stopped) {
+    // Goes on after Stop: reads that wait are still answered.
+    if (!error) {
       this->RespondToExpiredReads();
       this->SchedulePendingReadCheck();
     }
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -62,6 +62,12 @@
 }
 
 void ForwardedRequest::Start() {
+  if (this->context.process_end &&
+      this->deadline > *this->context.process_end) {
+    // Passed on, it could be cut off by the end of the process.
+    this->Refuse("shutdown", Duration::zero());
+    return;
+  }
   const auto self = this->shared_from_this();
   this->options.session->set_on_disconnect(
       [self] { self->OnCallerDisconnected(); });
--- a/Services/Gateway/forwarding_context.h
+++ b/Services/Gateway/forwarding_context.h
@@ -2,6 +2,7 @@
 #define GATEWAY_FORWARDING_CONTEXT_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,9 @@
   std::function<std::size_t()> running_hosts;
   /// A number from 0 to 1, drawn at random.
   std::function<double()> draw;
+  /// When the process ends at the latest, set late in its shutdown. A request
+  /// that may last longer is not accepted any more.
+  std::optional<TimePoint> process_end = std::nullopt;
   /// Bytes of all responses that are collected before they are passed on.
   std::size_t collected_bytes = 0;
 };
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -474,6 +474,9 @@
   const Duration since = BootTimeNow() - *this->shutdown_started;
   if (since > kRotationRemovalTime && !this->stopped_accepting) {
     this->stopped_accepting = true;
+    this->context.process_end = *this->shutdown_started +
+                                this->settings.limits.shutdown_time -
+                                kShutdownMargin;
     LogEvent(Event::kShutdownStep, {{"step", "closed to new connections"}});
     this->caller_listener.StopAccepting();
   }
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -2,7 +2,13 @@
 
 #include <signal.h>
 
+#include <array>
+
+#include <boost/asio/write.hpp>
+
+#include "LibAsyncHttp/http_serialization.h"
 #include "PlatformStandin/gateway_fleet.h"
+#include "platform/names.h"
 
 namespace crocus {
 
@@ -263,6 +269,123 @@
       0, this->fleet.processes.WaitForExit("gateway", std::chrono::seconds(9)));
 }
 
+TEST_GROUP(Gateway_ShutDown) {
+  GatewayFleet fleet{GatewayFleetOptions{.timeout_milliseconds = 30000}};
+
+  void setup() override {
+    this->fleet.AddReplica(
+        "model",
+        {.id = "i-slow", .event_interval = std::chrono::milliseconds(300)});
+    this->fleet.StartGateway("gateway");
+  }
+
+  /// A request that may take 30 s.
+  static RequestHead LongRequest(const std::string& id) {
+    RequestHead head = GatewayFleet::MakeRequestHead("stream", id);
+    head.fields.Set(std::string(platform::header::kDeadline), "30000");
+    return head;
+  }
+
+  /// A stream of 20 events or more, which take 6 s.
+  static std::string LongStream(const std::string& prefix) {
+    for (int i = 0;; ++i) {
+      const std::string id = prefix + std::to_string(i);
+      if (StandinEventCount(id) >= 20) {
+        return id;
+      }
+    }
+  }
+
+  void StartFetch(RequestHead head,
+                  std::optional<Result<FetchedResponse>> & reply) {
+    Fetch(this->fleet.loop, this->fleet.pool,
+          {.pool_key = "caller",
+           .server = {boost::asio::ip::address_v4::loopback(),
+                      this->fleet.CallerPort("gateway")},
+           .head = std::move(head),
+           .timeout = std::chrono::seconds(30)},
+          [&reply](auto fetched) { reply = std::move(fetched); });
+  }
+};
+
+// Guards against a stream that is read from a kept connection late in the
+// shutdown, passed on to a replica and cut off as the process ends.
+TEST(Gateway_ShutDown, NoStreamIsCutThatFollowsOneOnItsConnection) {
+  const std::string first = LongStream("first");
+  const std::string second = LongStream("second");
+  std::optional<Result<FetchedResponse>> first_reply;
+  this->StartFetch(LongRequest(first), first_reply);
+  this->fleet.RunFor(std::chrono::milliseconds(200));
+  this->fleet.processes.Signal("gateway", SIGTERM);
+  CHECK(
+      this->fleet.RunUntil([&first_reply] { return first_reply.has_value(); }));
+  CHECK_EQUAL(kOk, StatusOf(*first_reply));
+  std::optional<Result<FetchedResponse>> second_reply;
+  this->StartFetch(LongRequest(second), second_reply);
+  CHECK(this->fleet.RunUntil(
+      [&second_reply] { return second_reply.has_value(); }));
+  CHECK_FALSE(second_reply->has_value());
+  CHECK_EQUAL(0U, this->fleet.RunsOf(second));
+}
+
+// Guards against passing on a request whose end arrives when the process has no
+// time left for it: it would be cut off.
+TEST(Gateway_ShutDown, RequestThatCannotEndInTimeIsRefused) {
+  boost::asio::ip::tcp::socket caller(this->fleet.loop);
+  caller.connect({boost::asio::ip::address_v4::loopback(),
+                  this->fleet.CallerPort("gateway")});
+  const std::string id = LongStream("late");
+  RequestHead head = LongRequest(id);
+  head.fields.Add("Connection", "keep-alive");
+  const std::string request = SerializeRequest(head, "body");
+  boost::asio::write(caller, boost::asio::buffer(request.substr(0, 40)));
+  this->fleet.RunFor(std::chrono::milliseconds(100));
+  this->fleet.processes.Signal("gateway", SIGTERM);
+  this->fleet.RunFor(std::chrono::milliseconds(2700));
+  boost::asio::write(caller, boost::asio::buffer(request.substr(40)));
+  std::string received;
+  std::array<char, 4096> buffer{};
+  CHECK(this->fleet.RunUntil([&] {
+    boost::system::error_code error;
+    if (caller.available(error) > 0) {
+      received.append(buffer.data(),
+                      caller.read_some(boost::asio::buffer(buffer), error));
+    }
+    return received.find("\r\n\r\n") != std::string::npos;
+  }));
+  CHECK(received.starts_with("HTTP/1.1 503 "));
+  CHECK(received.find("Retry-After") != std::string::npos);
+  CHECK_EQUAL(0U, this->fleet.RunsOf(id));
+}
+
+// Guards against a read of results that is never answered because its gateway
+// stops while it waits, or has begun to stop before.
+TEST(Gateway_ShutDown, ReadsThatWaitForResultsAreAnswered) {
+  this->fleet.UnregisterReplica("i-slow");
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("gateway", "job", {"item"})));
+  const auto start_read = [this](auto& reply) {
+    RequestHead head{
+        .method = "GET",
+        .target = std::string(platform::call::kJobPrefix) + "job?after=0"};
+    head.fields.Add("Host", "shop.example");
+    head.fields.Add(std::string(platform::header::kPollWait), "1000");
+    this->StartFetch(std::move(head), reply);
+  };
+  std::optional<Result<FetchedResponse>> early;
+  std::optional<Result<FetchedResponse>> late;
+  start_read(early);
+  this->fleet.RunFor(std::chrono::milliseconds(100));
+  this->fleet.processes.Signal("gateway", SIGTERM);
+  this->fleet.RunFor(std::chrono::milliseconds(500));
+  start_read(late);
+  CHECK(this->fleet.RunUntil(
+      [&] { return early.has_value() && late.has_value(); },
+      std::chrono::milliseconds(1500)));
+  CHECK_EQUAL(kOk, StatusOf(*early));
+  CHECK_EQUAL(kOk, StatusOf(*late));
+}
+
 // Guards against terminating the process on SIGHUP.
 TEST(Gateway_TwoReplicas, HangupSignalLeavesTheProcessServing) {
   this->fleet.processes.Signal("gateway", SIGHUP);
--- a/Tests/LibAsyncHttp/http_listener_test.cc
+++ b/Tests/LibAsyncHttp/http_listener_test.cc
@@ -3,8 +3,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <array>
+#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -27,8 +29,18 @@
   std::string body = "answer";
   HttpListener listener{this->loop, [] { return SessionLimits(); },
                         [this](const auto& session, const auto&) {
+                          ++this->requests;
+                          if (this->delays_end) {
+                            session->StartResponse(200, "OK", {}, std::nullopt);
+                            this->last_session = session;
+                            return;
+                          }
                           session->Respond(200, {}, this->body);
                         }};
+  /// Whether responses begin and do not end by themselves.
+  bool delays_end = false;
+  std::shared_ptr<ServerSession> last_session;
+  int requests = 0;
   tcp::socket caller{this->loop};
 
   void setup() override {
@@ -106,6 +118,43 @@
   CHECK(this->RunUntilNotBusy().find("answer") != std::string::npos);
 }
 
+// Guards against a stopping process that reads the next request from a kept
+// connection whose response began before the stop. The process may end before
+// the response to that request does.
+TEST(HttpListener_Stopping, ConnectionClosesAfterAResponseThatBeganBefore) {
+  this->delays_end = true;
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest));
+  this->Run(std::chrono::milliseconds(50));
+  this->listener.StopAccepting();
+  this->last_session->FinishResponse();
+  this->last_session.reset();
+  this->Run(std::chrono::milliseconds(50));
+  CHECK_EQUAL(0U, this->listener.open_sessions());
+  boost::system::error_code error;
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest), error);
+  this->Run(std::chrono::milliseconds(50));
+  CHECK_EQUAL(1, this->requests);
+}
+
+// Guards against closing a connection on which the next request has arrived
+// already: its caller would take it for lost.
+TEST(HttpListener_Stopping, RequestThatHasArrivedIsAnsweredBeforeTheClose) {
+  this->delays_end = true;
+  this->Connect();
+  boost::asio::write(this->caller, boost::asio::buffer(kRequest + kRequest));
+  this->Run(std::chrono::milliseconds(50));
+  this->listener.StopAccepting();
+  this->delays_end = false;
+  std::exchange(this->last_session, nullptr)->FinishResponse();
+  const std::string received = this->RunUntilNotBusy();
+  CHECK_EQUAL(2, this->requests);
+  CHECK(received.find("Connection: close") != std::string::npos);
+  CHECK(received.find("answer") != std::string::npos);
+  this->Run(std::chrono::milliseconds(50));
+  CHECK_EQUAL(0U, this->listener.open_sessions());
+}
+
 // Guards against a process that does not end because of an idle connection.
 TEST(HttpListener_Stopping, IdleConnectionIsClosed) {
   this->Connect();
