Let no batch item that cannot start hold back others that can

Cause: StartItems took the most urgent item of all endpoints and ended its loop when that item had no slot, so the head of one queue waited for one endpoint and all others behind it. Related: late runs of any endpoint were stopped for it, peers kept slots free for it, reads of missing bodies took all reads, and the reserves of replicas with one or two slots left nothing for batch work at all.

Change: BatchQueue::Next takes a filter; an endpoint without a slot is left out for the rest of the call. A late run is stopped at the same endpoint only. Items of endpoints without replicas are not reported as waiting and read no bodies. A body that the store does not have is read again ever more rarely. An idle replica takes a batch item however small it is.

--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -85,7 +85,8 @@
                                          const RoutingConfig& config,
                                          const PeerItems& peers,
                                          TimePoint now,
-                                         std::int64_t unix_milliseconds) const {
+                                         std::int64_t unix_milliseconds,
+                                         const ItemFilter& filter) const {
   std::optional<NextItem> best;
   for (const auto& [id, job] : job_table.jobs()) {
     if (job.is_ended || job.finished_items.size() == job.items.size() ||
@@ -93,7 +94,9 @@
       continue;
     }
     const Route* route = RouteOfJob(config, job.record);
-    if (route == nullptr) {
+    if (route == nullptr ||
+        (!filter.full_endpoints.empty() &&
+         filter.full_endpoints.contains(EndpointOfJob(*route, id)))) {
       continue;
     }
     for (std::uint32_t i = 0; i < job.items.size(); ++i) {
@@ -107,6 +110,9 @@
           found != this->progress.end() && now < found->second.not_before) {
         continue;
       }
+      if (filter.only_with_body && !this->HasBody(job_table, item)) {
+        continue;
+      }
       const NextItem next{
           .item = item,
           .is_late = this->IsLate(job_table, config, item, unix_milliseconds),
@@ -120,6 +126,33 @@
   return best;
 }
 
+std::optional<ItemReference> BatchQueue::LateRunAt(
+    const std::string& endpoint,
+    const BatchJobTable& job_table,
+    const RoutingConfig& config,
+    std::int64_t unix_milliseconds) const {
+  const auto found = std::find_if(
+      this->running.begin(), this->running.end(), [&](const auto& item) {
+        const BatchJobEntry* job = job_table.Find(item.job);
+        const Route* route =
+            job == nullptr ? nullptr : RouteOfJob(config, job->record);
+        return route != nullptr &&
+               EndpointOfJob(*route, item.job) == endpoint &&
+               this->IsLate(job_table, config, item, unix_milliseconds);
+      });
+  return found == this->running.end() ? std::nullopt : std::optional(*found);
+}
+
+bool BatchQueue::HasBody(const BatchJobTable& job_table,
+                         const ItemReference& item) const {
+  const BatchJobEntry* job = job_table.Find(item.job);
+  if (job == nullptr || job->items[item.item].stored_body.parts == 0) {
+    return true;
+  }
+  const auto found = this->progress.find(item);
+  return found != this->progress.end() && found->second.body.has_value();
+}
+
 std::vector<ItemReference> BatchQueue::ItemsToAbandon(
     const BatchJobTable& job_table,
     const RoutingConfig& config,
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -32,6 +32,8 @@
   TimePoint not_before{};
   /// The body of the item, once it has been read from the store.
   std::optional<std::string> body;
+  /// Reads of the body that found nothing in the store.
+  std::uint32_t missing_body_reads = 0;
   TimePoint first_started{};
   /// Total duration of the runs of the item that have ended.
   Duration run_time{};
@@ -40,6 +42,14 @@
   TimePoint recorded{};
 };
 
+/// Items that BatchQueue::Next leaves out.
+struct ItemFilter {
+  /// Endpoints that have no slot for a further item now.
+  std::set<std::string> full_endpoints;
+  /// Leaves out items whose bodies have yet to be read from the store.
+  bool only_with_body = false;
+};
+
 /// The item to start next.
 struct NextItem {
   ItemReference item;
@@ -67,12 +77,24 @@
   /// first. Items that are expected to miss their due time come after the
   /// others: with more work than slots, running the oldest items first would
   /// make every job late. Skips items that run on this or another host, have
-  /// their final state or wait after a failure.
+  /// their final state or wait after a failure, and those that `filter` leaves
+  /// out: an item that cannot start must not hold back others that can.
   std::optional<NextItem> Next(const BatchJobTable& job_table,
                                const RoutingConfig& config,
                                const PeerItems& peers,
                                TimePoint now,
-                               std::int64_t unix_milliseconds) const;
+                               std::int64_t unix_milliseconds,
+                               const ItemFilter& filter = {}) const;
+
+  /// A running item at the endpoint that is expected to be late; none if there
+  /// is no such item.
+  std::optional<ItemReference> LateRunAt(const std::string& endpoint,
+                                         const BatchJobTable& job_table,
+                                         const RoutingConfig& config,
+                                         std::int64_t unix_milliseconds) const;
+
+  /// True if the item's body is at hand.
+  bool HasBody(const BatchJobTable& job_table, const ItemReference& item) const;
 
   /// True if the item, given its progress, is expected to miss its due time, or
   /// if its job or route no longer exists.
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -143,11 +143,15 @@
     const std::set<std::string>& excluded,
     TimePoint now,
     std::uint32_t extra_reserve) const {
-  const std::uint32_t reserve = this->options.batch_reserve + extra_reserve;
+  const std::uint32_t full_reserve =
+      this->options.batch_reserve + extra_reserve;
   std::optional<PlacementChoice> best;
   double best_cost = 0;
   for (const auto* replica : this->Candidates(endpoint, excluded, now)) {
     const OutstandingRequests load = this->loads.Total(replica->id);
+    // An idle replica takes batch work however few slots it has. Otherwise that
+    // work would never be done.
+    const std::uint32_t reserve = std::min(full_reserve, replica->slots - 1);
     if (load.total() + reserve >= replica->slots ||
         this->loads.IsInBackoff(replica->id, now)) {
       continue;
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -58,7 +58,8 @@
 
   /// Chooses a replica that is not in `excluded` and has a slot for batch work,
   /// with `extra_reserve` slots left free in addition to the reserve for online
-  /// requests; none if there is no such replica. Hosts prefer different
+  /// requests; none if there is no such replica. An idle replica always has a
+  /// slot, even if the reserves are larger than it. Hosts prefer different
   /// replicas: with the same preference, all of them would fill the emptiest
   /// replica before they receive each other's reports.
   std::optional<PlacementChoice> ChooseBatch(
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -37,8 +37,11 @@
 /// Time before an item is looked at again whose prompt has a part that crashes
 /// replicas. It waits for the end of the block, at most for its retention.
 constexpr Duration kBlockedBackoff = std::chrono::milliseconds(1000);
-/// Time before the body of an item is read again after a failed read.
+/// Time before the body of an item is read again after a failed read. It
+/// doubles, up to a limit, with each read that finds nothing: few reads are in
+/// progress at once, and items without a body must not take all of them.
 constexpr Duration kBodyReadBackoff = std::chrono::milliseconds(300);
+constexpr Duration kMaximumBodyReadBackoff = std::chrono::seconds(10);
 /// Time for which other hosts do not run an item whose result this host could
 /// not write yet, because it cannot reach the store. A further run takes about
 /// as long.
@@ -187,18 +190,24 @@
   // Replicas at which this call has started an item.
   std::set<std::string> started;
   const auto peer_due = this->peer_items.EarliestDue(now);
-  while (const auto next = this->queue.Next(this->job_table, *routing_config,
-                                            this->peer_items, now, unix_now)) {
+  ItemFilter filter;
+  while (const auto next =
+             this->queue.Next(this->job_table, *routing_config,
+                              this->peer_items, now, unix_now, filter)) {
     const ItemReference& item = next->item;
-    if (!this->HasBody(item)) {
-      if (!this->LoadBody(item)) {
-        break;
-      }
-      continue;
-    }
     const BatchJobEntry* job = this->job_table.Find(item.job);
     const Route* route = RouteOfJob(*routing_config, job->record);
     const std::string endpoint = EndpointOfJob(*route, item.job);
+    const bool has_replicas =
+        !this->context.directory.Available(endpoint).empty();
+    if (!has_replicas) {
+      filter.full_endpoints.insert(endpoint);
+      continue;
+    }
+    if (!this->queue.HasBody(this->job_table, item)) {
+      filter.only_with_body = !this->LoadBody(item);
+      continue;
+    }
     const bool is_most_urgent =
         !next->is_late &&
         (!peer_due || next->due_ms <= *peer_due + kUrgencySlackMilliseconds);
@@ -215,10 +224,14 @@
     }
     if (!choice) {
       if (!next->is_late) {
-        this->waiting_due_ms = next->due_ms;
-        this->PreemptLateRun(*routing_config, unix_now);
+        // Items come in order of their due times, so the first one counts.
+        if (this->waiting_due_ms == 0) {
+          this->waiting_due_ms = next->due_ms;
+        }
+        this->PreemptLateRun(endpoint, *routing_config, unix_now);
       }
-      break;
+      filter.full_endpoints.insert(endpoint);
+      continue;
     }
     const auto shared_parts = this->SharedPartsOf(item);
     if (this->context.crash_evidence.Check(shared_parts, now,
@@ -244,25 +257,15 @@
           .prompt_parts);
 }
 
-void BatchRunner::PreemptLateRun(const RoutingConfig& routing_config,
+void BatchRunner::PreemptLateRun(const std::string& endpoint,
+                                 const RoutingConfig& routing_config,
                                  std::int64_t unix_milliseconds) {
-  for (const auto& [item, run] : this->runs) {
-    if (this->queue.IsLate(this->job_table, routing_config, item,
-                           unix_milliseconds)) {
-      const ItemReference late = item;
-      this->StopRun(late, "slot needed for an item that can meet its due time");
-      return;
-    }
+  if (const auto late = this->queue.LateRunAt(
+          endpoint, this->job_table, routing_config, unix_milliseconds)) {
+    this->StopRun(*late, "slot needed for an item that can meet its due time");
   }
 }
 
-bool BatchRunner::HasBody(const ItemReference& item) {
-  const BatchItemEntry& entry =
-      this->job_table.Find(item.job)->items[item.item];
-  return entry.stored_body.parts == 0 ||
-         this->queue.Progress(item).body.has_value();
-}
-
 bool BatchRunner::LoadBody(const ItemReference& item) {
   if (this->body_reads >= kMaximumBodyReads) {
     return false;
@@ -288,7 +291,15 @@
           progress.body = std::move(*body);
           return;
         }
-        progress.not_before = BootTimeNow() + kBodyReadBackoff;
+        Duration backoff = kBodyReadBackoff;
+        if (body.error().code == ErrorCode::kNotFound) {
+          constexpr std::uint32_t kMaximumDoublings = 6;
+          backoff = std::min<Duration>(
+              kBodyReadBackoff * (1 << std::min(progress.missing_body_reads++,
+                                                kMaximumDoublings)),
+              kMaximumBodyReadBackoff);
+        }
+        progress.not_before = BootTimeNow() + backoff;
         LogEvent(Event::kBatchDataReadFailed,
                  {{"request", current->items[item.item].spec.id},
                   {"job", item.job},
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -84,9 +84,10 @@
   };
 
   void Tick();
-  /// Stops one run of an item that will be late, to free its slot for an item
-  /// that can be finished in time.
-  void PreemptLateRun(const RoutingConfig& routing_config,
+  /// Stops one run at the endpoint whose item will be late, to free its slot
+  /// for an item that can be finished in time.
+  void PreemptLateRun(const std::string& endpoint,
+                      const RoutingConfig& routing_config,
                       std::int64_t unix_milliseconds);
   /// Ids of the parts of the item's prompt that other requests may share.
   std::vector<std::string> SharedPartsOf(const ItemReference& item) const;
@@ -100,8 +101,6 @@
   void StopRun(const ItemReference& item, const std::string& reason);
   void FinishItem(const ItemReference& item, bool is_completed);
   void AbandonExpiredItems();
-  /// True if the item's body is at hand.
-  bool HasBody(const ItemReference& item);
   /// Reads the item's body from the store. Until it is at hand, the item does
   /// not start. False if too many reads are in progress.
   bool LoadBody(const ItemReference& item);
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -64,6 +64,16 @@
 
 TEST_GROUP(GatewayBatch_OneGateway) {
   GatewayFleet fleet;
+
+  bool WaitForResults(const std::string& job, std::size_t count,
+                      Duration timeout) {
+    return this->fleet.RunUntil(
+        [&, this] {
+          const auto page = this->fleet.ReadResults("a", job);
+          return !page.is_null() && page["results"].size() >= count;
+        },
+        timeout);
+  }
 };
 
 // Guards against a completed item whose text ends where its first replica
@@ -93,6 +103,50 @@
                page["results"][0]["text"].get<std::string>().c_str());
 }
 
+// Guards against items that can't run, because their endpoint has no replicas,
+// keeping the items of another endpoint from starting.
+TEST(GatewayBatch_OneGateway, EndpointWithoutReplicasDoesNotHoldBackOthers) {
+  this->fleet.AddReplica("desk", {.id = "d-1"});
+  this->fleet.StartGateway("a");
+  for (int i = 0; i < 3; ++i) {
+    const std::string job = "stuck" + std::to_string(i);
+    CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", job,
+                                                  MakeItemIds(job + "-", 8))));
+  }
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "free", MakeItemIds("free-", 12),
+                                          {.route = "desk-batch"})));
+  CHECK_TRUE(this->WaitForResults("free", 12, std::chrono::seconds(8)));
+}
+
+// Guards against the same where the replicas of the other endpoint are full.
+TEST(GatewayBatch_OneGateway, EndpointWithFullReplicasDoesNotHoldBackOthers) {
+  auto& full = this->fleet.AddReplica("model", {.id = "i-1"});
+  this->fleet.AddReplica("desk", {.id = "d-1"});
+  full.set_faults({.is_unresponsive = true});
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(
+      202U, StatusOf(this->fleet.Submit("a", "stuck", MakeItemIds("s-", 20))));
+  this->fleet.RunFor(std::chrono::milliseconds(800));
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "free", MakeItemIds("free-", 12),
+                                          {.route = "desk-batch"})));
+  CHECK_TRUE(this->WaitForResults("free", 12, std::chrono::seconds(4)));
+}
+
+// Guards against items whose bodies can't be read from the store and whose
+// repeated reads keep the bodies of other items from being read.
+TEST(GatewayBatch_OneGateway, ItemsWithUnreadableBodiesDoNotHoldBackOthers) {
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "lost", MakeItemIds("l-", 60))));
+  this->fleet.store.DeleteKeys("keyed.crocus.data");
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_EQUAL(202U,
+              StatusOf(this->fleet.Submit("a", "sound", MakeItemIds("s-", 6))));
+  CHECK_TRUE(this->WaitForResults("sound", 6, std::chrono::seconds(8)));
+}
+
 TEST_GROUP(GatewayBatch_CutOffHost) {
   GatewayFleet fleet;
 };
@@ -289,8 +343,8 @@
     replica->set_faults({.is_unresponsive = true});
   }
   for (const std::string job : {"j1", "j2", "j3", "j4", "j5", "j6"}) {
-    CHECK_EQUAL(202U,
-                StatusOf(this->fleet.Submit("a", job, {job + "-i"}, {.body = body})));
+    CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", job, {job + "-i"},
+                                                  {.body = body})));
   }
   this->fleet.RunFor(std::chrono::milliseconds(500));
   this->fleet.store.set_faults({.rejects_joins = true});
--- a/Tests/LibServing/batch_job_table_test.cc
+++ b/Tests/LibServing/batch_job_table_test.cc
@@ -371,4 +371,87 @@
       this->queue.ItemsToAbandon(this->job_table, this->config, 62001).size());
 }
 
+TEST_GROUP(BatchQueue_TwoEndpoints) {
+  BatchJobTable job_table;
+  BatchQueue queue;
+  PeerItems peers;
+  RoutingConfig config{.version = 1,
+                       .routes = {MakeRoute("first"), MakeRoute("second")}};
+  TimePoint now{std::chrono::hours(1)};
+  std::int64_t unix_now = 3000;
+
+  /// A batch route whose endpoint has the same name.
+  static Route MakeRoute(const std::string& name) {
+    return {.name = name,
+            .host = "h",
+            .prefix = "/" + name + "/",
+            .kind = RequestKind::kBatch,
+            .shares = {{.endpoint = name, .weight = 1}},
+            .completion_target = std::chrono::seconds(18),
+            .retention = std::chrono::seconds(60)};
+  }
+
+  /// Adds a job with one item, whose body is stored in a part of its own.
+  void AddJob(const std::string& route, std::int64_t submitted_ms) {
+    const records::BatchJobStored stored{
+        .accepted = {.job = route + "-job",
+                     .tag = "t",
+                     .route = route,
+                     .host = "h",
+                     .path = "/" + route + "/x",
+                     .submitted_ms = submitted_ms,
+                     .items = {{.id = route + "-item"}}},
+        .bodies = {{.parts = 1, .bytes = 1}}};
+    CHECK_TRUE(this->job_table
+                   .Apply({.key = StoredJobKey(stored.accepted.job, "t"),
+                           .value = Encode(stored)})
+                   .has_value());
+  }
+
+  std::string Next(const ItemFilter& filter) const {
+    const auto next =
+        this->queue.Next(this->job_table, this->config, this->peers, this->now,
+                         this->unix_now, filter);
+    return next ? next->item.job : "";
+  }
+
+  void setup() override {
+    this->AddJob("first", 1000);
+    this->AddJob("second", 2000);
+    this->queue.SetPartitions({0}, 1);
+  }
+};
+
+// Guards against an item whose endpoint has no free slot and that keeps those
+// of other endpoints from starting.
+TEST(BatchQueue_TwoEndpoints, ItemsOfFullEndpointsAreLeftOut) {
+  STRCMP_EQUAL("first-job", this->Next({}).c_str());
+  STRCMP_EQUAL("second-job", this->Next({.full_endpoints = {"first"}}).c_str());
+  STRCMP_EQUAL("", this->Next({.full_endpoints = {"first", "second"}}).c_str());
+}
+
+// Guards against items that wait for their bodies and keep those from starting
+// whose bodies have been read.
+TEST(BatchQueue_TwoEndpoints, ItemsWithoutBodyCanBeLeftOut) {
+  STRCMP_EQUAL("", this->Next({.only_with_body = true}).c_str());
+  this->queue.Progress({.job = "second-job", .item = 0}).body = "b";
+  STRCMP_EQUAL("second-job", this->Next({.only_with_body = true}).c_str());
+}
+
+// Guards against stopping the run of an item, to free a slot for an item of
+// another endpoint.
+TEST(BatchQueue_TwoEndpoints, LateRunIsSoughtAtTheSameEndpointOnly) {
+  const ItemReference late{.job = "first-job", .item = 0};
+  this->queue.SetRunning(late, true);
+  this->unix_now = 1000 + 18000;
+  const auto late_run_at = [this](const std::string& endpoint) {
+    return this->queue.LateRunAt(endpoint, this->job_table, this->config,
+                                 this->unix_now);
+  };
+  CHECK_FALSE(late_run_at("second").has_value());
+  CHECK(late_run_at("first") == late);
+  this->unix_now = 1000;
+  CHECK_FALSE(late_run_at("first").has_value());
+}
+
 }  // namespace crocus
--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -88,6 +88,21 @@
   STRCMP_EQUAL("", this->Online({"z1", "z2", "z3"}).c_str());
 }
 
+// Guards against batch work that never starts at replicas with few slots,
+// because the reserves take all of them.
+TEST(Placement_ThreeZones, IdleReplicaWithFewSlotsTakesBatchWork) {
+  constexpr std::uint32_t kExtraReserve = 1;
+  for (const std::uint32_t slots : {1u, 2u}) {
+    this->directory.Update({.id = "few", .endpoint = "few", .slots = slots});
+    CHECK(this->placement.ChooseBatch("few", {}, kStart, kExtraReserve)
+              .has_value());
+    this->loads.OnSent("few", WorkClass::kOnline);
+    CHECK_FALSE(this->placement.ChooseBatch("few", {}, kStart, kExtraReserve)
+                    .has_value());
+    this->loads.OnEnded("few", WorkClass::kOnline);
+  }
+}
+
 // Guards against batch work in the slots that are reserved for online requests.
 TEST(Placement_ThreeZones, BatchLeavesTheReserveFree) {
   this->Fill("z1", WorkClass::kOnline, 2);
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -130,6 +130,15 @@
   }
 }
 
+void StoreStandin::DeleteKeys(const std::string& prefix) {
+  for (auto& [name, topic] : this->topics) {
+    if (name.rfind(prefix, 0) == 0) {
+      topic.newest.clear();
+    }
+  }
+  this->CompactAll(prefix);
+}
+
 void StoreStandin::Rebalance() {
   this->AssignPartitions();
 }
--- a/Tests/PlatformStandin/store_standin.h
+++ b/Tests/PlatformStandin/store_standin.h
@@ -57,6 +57,8 @@
   void Compact(const std::string& topic);
   /// Does this for all partitions of all topics with that prefix.
   void CompactAll(const std::string& prefix);
+  /// Deletes all keys of the topics with that prefix, and their log.
+  void DeleteKeys(const std::string& prefix);
   /// Assigns all partitions to the members anew.
   void Rebalance();
 
