Abandon the items whose route a configuration has dropped

Cause: an item ended with the retention that its route gives, or with its job. Without a route there is no retention, so it never expired.

Change: DroppedRoutes decides when a job has lost its route for good: after 5 s, and once a read of the configuration that was sent after the absence had been noticed still shows it. Hosts that do not know a new route yet abandon nothing, and an operator may take a mistake back. Items that run are finished. The line of an abandoned item says why.

--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -153,11 +153,14 @@
   return found != this->progress.end() && found->second.body.has_value();
 }
 
-std::vector<ItemReference> BatchQueue::ItemsToAbandon(
+std::vector<ItemToAbandon> BatchQueue::ItemsToAbandon(
     const BatchJobTable& job_table,
     const RoutingConfig& config,
+    const DroppedRoutes& dropped_routes,
+    const PeerItems& peers,
+    TimePoint now,
     std::int64_t unix_milliseconds) const {
-  std::vector<ItemReference> items;
+  std::vector<ItemToAbandon> items;
   for (const auto& [id, job] : job_table.jobs()) {
     if (job.finished_items.size() == job.items.size() || !this->OwnsJob(id)) {
       continue;
@@ -170,14 +173,24 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(
                     route->retention)
                     .count();
-    if (!is_expired && !job.is_ended) {
+    const bool is_dropped = dropped_routes.IsDropped(id);
+    if (!is_expired && !job.is_ended && !is_dropped) {
       continue;
     }
+    const std::string reason = job.is_ended ? "job ended"
+                               : is_expired ? "retention"
+                                            : "route dropped";
     for (std::uint32_t i = 0; i < job.items.size(); ++i) {
       const ItemReference item{.job = id, .item = i};
-      if (job.items[i].state == ItemState::kOpen &&
-          !this->finished.contains(item)) {
-        items.push_back(item);
+      if (job.items[i].state != ItemState::kOpen ||
+          this->finished.contains(item)) {
+        continue;
+      }
+      const bool may_finish =
+          !is_expired && !job.is_ended &&
+          (this->running.contains(item) || peers.IsRunning(item, now));
+      if (!may_finish) {
+        items.push_back({.item = item, .reason = reason});
       }
     }
   }
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -12,6 +12,7 @@
 
 #include "LibCore/time.h"
 #include "LibServing/batch_job_table.h"
+#include "LibServing/dropped_routes.h"
 #include "LibServing/peer_items.h"
 #include "LibServing/routing_config.h"
 
@@ -61,6 +62,15 @@
   bool operator==(const NextItem&) const = default;
 };
 
+/// An item that is given up.
+struct ItemToAbandon {
+  ItemReference item;
+  /// For logs.
+  std::string reason;
+
+  bool operator==(const ItemToAbandon&) const = default;
+};
+
 /// The open items of the jobs that are assigned to this host, and the order in
 /// which they start. Not thread-safe.
 class BatchQueue {
@@ -106,11 +116,15 @@
   /// Updates the mean run time and the mean number of events of an item.
   void OnItemDone(Duration time, std::uint64_t events);
 
-  /// Open items to abandon: the retention of their job has passed, or the job
-  /// was ended.
-  std::vector<ItemReference> ItemsToAbandon(
+  /// Open items to abandon, and why: the retention of their job has passed, the
+  /// job was ended, or its route was dropped. An item without a route that runs
+  /// may still be finished.
+  std::vector<ItemToAbandon> ItemsToAbandon(
       const BatchJobTable& job_table,
       const RoutingConfig& config,
+      const DroppedRoutes& dropped_routes,
+      const PeerItems& peers,
+      TimePoint now,
       std::int64_t unix_milliseconds) const;
 
   /// The progress of the item; creates it if there is none.
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -119,21 +119,25 @@
     this->StopRun(item, "no event received");
   }
   this->queue.Prune(this->job_table);
-  this->AbandonExpiredItems();
+  this->AbandonItems();
   this->RecordProgress(now);
   this->PreemptRuns();
   this->StartItems();
 }
 
-void BatchRunner::AbandonExpiredItems() {
-  const auto routing_config = this->config();
+void BatchRunner::AbandonItems() {
+  const auto routing_config = this->config.current();
   if (!routing_config) {
     return;
   }
-  for (const auto& item : this->queue.ItemsToAbandon(
-           this->job_table, *routing_config, UnixMilliseconds())) {
+  const TimePoint now = BootTimeNow();
+  this->dropped_routes.Update(this->job_table, *routing_config,
+                              this->config.as_of(), now);
+  for (const auto& [item, reason] : this->queue.ItemsToAbandon(
+           this->job_table, *routing_config, this->dropped_routes,
+           this->peer_items, now, UnixMilliseconds())) {
     this->StopRun(item, "abandoned");
-    this->FinishItem(item, false);
+    this->FinishItem(item, false, reason);
   }
 }
 
@@ -152,7 +156,7 @@
           total.total() - record->slots, replica);
     }
   }
-  const auto routing_config = this->config();
+  const auto routing_config = this->config.current();
   const std::int64_t unix_now = UnixMilliseconds();
   // Runs of late items are stopped first.
   for (const bool is_late : {true, false}) {
@@ -180,7 +184,7 @@
 }
 
 void BatchRunner::StartItems() {
-  const auto routing_config = this->config();
+  const auto routing_config = this->config.current();
   this->waiting_due_ms = 0;
   if (!routing_config || this->is_stopping || !this->may_start()) {
     return;
@@ -449,7 +453,7 @@
       end.end == ExchangeEnd::kComplete && end.verdict == Verdict::kRan;
   if (is_complete && run.is_usable && run.is_in_order && progress.events > 0) {
     this->queue.OnItemDone(progress.run_time, progress.events);
-    this->FinishItem(item, true);
+    this->FinishItem(item, true, "");
     return;
   }
   LogEvent(
@@ -470,15 +474,15 @@
       (end.verdict == Verdict::kNotRun ? kRefusedBackoff : kFailedBackoff);
   progress.avoided.insert(run.attempt->replica());
   if (is_complete && run.status == http_status::kUnprocessable) {
-    this->FinishItem(item, false);
+    this->FinishItem(item, false, "replica returned status 422");
   } else if (is_complete && run.status == http_status::kServerError) {
     progress.failures.insert(this->writer.AppendItemFailure(item));
-    const auto routing_config = this->config();
+    const auto routing_config = this->config.current();
     const Route* route =
         RouteOfJob(*routing_config, this->job_table.Find(item.job)->record);
     if (route != nullptr && this->queue.FailureCount(this->job_table, item) >=
                                 route->maximum_attempts) {
-      this->FinishItem(item, false);
+      this->FinishItem(item, false, "too many failures");
     }
   }
 }
@@ -505,13 +509,16 @@
   attempt->Cancel();
 }
 
-void BatchRunner::FinishItem(const ItemReference& item, bool is_completed) {
+void BatchRunner::FinishItem(const ItemReference& item,
+                             bool is_completed,
+                             const std::string& reason) {
   const auto& progress = this->queue.Progress(item);
   LogEvent(
       Event::kBatchItemEnded,
       {{"request", this->job_table.Find(item.job)->items[item.item].spec.id},
        {"job", item.job},
        {"outcome", is_completed ? "completed" : "abandoned"},
+       {"reason", reason},
        {"attempts", std::to_string(progress.attempts)},
        {"failures",
         std::to_string(this->queue.FailureCount(this->job_table, item))},
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -15,12 +15,19 @@
 #include "Gateway/replica_attempt.h"
 #include "LibServing/batch_job_table.h"
 #include "LibServing/batch_queue.h"
+#include "LibServing/dropped_routes.h"
 #include "LibServing/event_stream_parser.h"
 #include "LibServing/routing_config.h"
 
 namespace crocus {
 
-using ConfigSource = std::function<std::shared_ptr<const RoutingConfig>()>;
+/// Where the configuration in force comes from.
+struct ConfigSource {
+  /// Null until there is one.
+  std::function<std::shared_ptr<const RoutingConfig>()> current;
+  /// When the read was sent that last showed it to be the newest one.
+  std::function<TimePoint()> as_of;
+};
 
 /// Runs the open items of the batch jobs whose partitions the store has
 /// assigned to this host, in replica slots that online requests do not use.
@@ -99,8 +106,13 @@
   void OnEnd(const ItemReference& item, const AttemptEnd& end);
   /// Cancels the item's run, if there is one. A later run can resume the item.
   void StopRun(const ItemReference& item, const std::string& reason);
-  void FinishItem(const ItemReference& item, bool is_completed);
-  void AbandonExpiredItems();
+  /// Records the item's final state. `reason` says why it is abandoned, for
+  /// logs; it is empty for a completed item.
+  void FinishItem(const ItemReference& item,
+                  bool is_completed,
+                  const std::string& reason);
+  /// Abandons the items that can not or may not run any more.
+  void AbandonItems();
   /// Reads the item's body from the store. Until it is at hand, the item does
   /// not start. False if too many reads are in progress.
   bool LoadBody(const ItemReference& item);
@@ -120,6 +132,7 @@
   /// True if the job table is current enough to start items from it.
   const std::function<bool()> may_start;
   BatchQueue queue;
+  DroppedRoutes dropped_routes;
   boost::asio::steady_timer timer;
   std::map<ItemReference, Run> runs;
   std::int64_t waiting_due_ms = 0;
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -197,7 +197,9 @@
               [this] { this->directory.OnRegistryRecovered(BootTimeNow()); }});
   this->batch_service = std::make_unique<BatchService>(
       this->context, this->store, this->peer_items,
-      [this] { return this->config; },
+      ConfigSource{
+          .current = [this] { return this->config; },
+          .as_of = [this] { return this->config_follower->current_as_of(); }},
       BatchServiceOptions{
           .host_name = this->settings.host.name,
           .partitions = this->settings.store.partitions,
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -147,6 +147,63 @@
   CHECK_TRUE(this->WaitForResults("sound", 6, std::chrono::seconds(8)));
 }
 
+// Guards against items that are never listed because a configuration has
+// dropped their route. Those that run are finished.
+TEST(GatewayBatch_OneGateway, ItemsOfADroppedRouteAreAbandoned) {
+  this->fleet.AddReplica(
+      "model", {.id = "i-1", .event_interval = std::chrono::milliseconds(100)});
+  this->fleet.StartGateway("a");
+  const auto items = MakeItemIds("dropped-", 12);
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "dropped", items)));
+  CHECK_TRUE(this->fleet.RunUntil([this, &items] {
+    return this->fleet.RunsOf(items[0]) + this->fleet.RunsOf(items[1]) > 0;
+  }));
+  this->fleet.PublishConfig({.version = 9, .has_batch_routes = false});
+  CHECK_TRUE(this->WaitForResults("dropped", 12, std::chrono::seconds(12)));
+  for (const auto& result :
+       this->fleet.ReadResults("a", "dropped")["results"]) {
+    const auto id = result["id"].get<std::string>();
+    const bool has_run = this->fleet.RunsOf(id) > 0;
+    STRCMP_EQUAL(has_run ? "completed" : "abandoned",
+                 result["state"].get<std::string>().c_str());
+  }
+}
+
+// Guards against abandoning items whose route an operator drops by mistake and
+// adds again at once.
+TEST(GatewayBatch_OneGateway, ItemsOutliveAShortAbsenceOfTheirRoute) {
+  this->fleet.StartGateway("a");
+  const auto items = MakeItemIds("kept-", 4);
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "kept", items)));
+  this->fleet.PublishConfig({.version = 9, .has_batch_routes = false});
+  this->fleet.RunFor(std::chrono::seconds(2));
+  this->fleet.PublishConfig({.version = 10});
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_TRUE(this->WaitForResults("kept", 4, std::chrono::seconds(8)));
+  for (const auto& result : this->fleet.ReadResults("a", "kept")["results"]) {
+    STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
+  }
+}
+
+// Guards against a host that does not know a new route yet and abandons the
+// items that another host has accepted on it.
+TEST(GatewayBatch_OneGateway, HostWithAnOldConfigurationAbandonsNothing) {
+  this->fleet.PublishConfig({.version = 8, .has_batch_routes = false});
+  this->fleet.StartGateway("a");
+  this->fleet.store.set_faults({.blocked_topic = "keyed.op"});
+  this->fleet.PublishConfig({.version = 9});
+  this->fleet.StartGateway("b");
+  CHECK_EQUAL(
+      202U, StatusOf(this->fleet.Submit("b", "new", MakeItemIds("new-", 20))));
+  this->fleet.RunFor(std::chrono::seconds(8));
+  this->fleet.store.set_faults({});
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_TRUE(this->WaitForResults("new", 20, std::chrono::seconds(20)));
+  for (const auto& result : this->fleet.ReadResults("a", "new")["results"]) {
+    STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
+  }
+}
+
 TEST_GROUP(GatewayBatch_CutOffHost) {
   GatewayFleet fleet;
 };
--- a/Tests/LibServing/batch_job_table_test.cc
+++ b/Tests/LibServing/batch_job_table_test.cc
@@ -237,6 +237,7 @@
   BatchJobTable job_table;
   BatchQueue queue;
   PeerItems peers;
+  DroppedRoutes dropped_routes;
   RoutingConfig config{
       .version = 1,
       .routes = {{.name = "r",
@@ -274,6 +275,12 @@
     }
     this->queue.SetPartitions({0}, 1);
   }
+
+  std::vector<ItemToAbandon> ItemsToAbandon(std::int64_t unix_milliseconds) {
+    return this->queue.ItemsToAbandon(this->job_table, this->config,
+                                      this->dropped_routes, this->peers,
+                                      this->now, unix_milliseconds);
+  }
 };
 
 // Guards against starting items first that are due later.
@@ -361,14 +368,29 @@
 // Guards against items that stay open indefinitely, and against abandoning them
 // before the retention that the operator has configured.
 TEST(BatchQueue_TwoJobs, ItemsAreAbandonedAfterTheRetention) {
-  CHECK_TRUE(
-      this->queue.ItemsToAbandon(this->job_table, this->config, 61000).empty());
-  CHECK_EQUAL(
-      2U,
-      this->queue.ItemsToAbandon(this->job_table, this->config, 61001).size());
-  CHECK_EQUAL(
-      4U,
-      this->queue.ItemsToAbandon(this->job_table, this->config, 62001).size());
+  CHECK_TRUE(this->ItemsToAbandon(61000).empty());
+  CHECK_EQUAL(2U, this->ItemsToAbandon(61001).size());
+  CHECK_EQUAL(4U, this->ItemsToAbandon(62001).size());
+}
+
+// Guards against items that are never listed because their route was dropped,
+// and against abandoning those that run and will be finished.
+TEST(BatchQueue_TwoJobs, IdleItemsOfADroppedRouteAreAbandoned) {
+  this->config.routes.clear();
+  for (const auto time : {std::chrono::seconds(1), std::chrono::seconds(10)}) {
+    this->dropped_routes.Update(this->job_table, this->config, this->now + time,
+                                this->now + time);
+  }
+  this->queue.SetRunning({.job = "early", .item = 0}, true);
+  this->peers.OnReport({"", "peer"},
+                       {ItemReference{.job = "late", .item = 1}.Hash()}, 0,
+                       this->now);
+  const auto items = this->ItemsToAbandon(this->unix_now);
+  CHECK_EQUAL(2U, items.size());
+  CHECK(items[0] == (ItemToAbandon{.item = {.job = "early", .item = 1},
+                                   .reason = "route dropped"}));
+  CHECK(items[1] == (ItemToAbandon{.item = {.job = "late", .item = 0},
+                                   .reason = "route dropped"}));
 }
 
 TEST_GROUP(BatchQueue_TwoEndpoints) {
