Read foreign JSON and records only within stated bounds

What another operator reported: an odd entry among those of the replicas ended the readers again and again, or they stopped following the list.

Cause here: numbers of an entry were converted without a range, so slots of 2^32 + 4 counted as 4 and 1e20 as 4 billion; an address that is none was used; an id with a line end became a header; one record without a readable key failed its whole page, which was then read again and again. Nesting was not limited, which costs memory many times the text.

Durations from outside are limited where they are converted.

--- a/Libraries/LibCore/time.h
+++ b/Libraries/LibCore/time.h
@@ -1,6 +1,7 @@
 #ifndef LIBCORE_TIME_H_
 #define LIBCORE_TIME_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <ctime>
@@ -41,10 +42,27 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/// Converts seconds to a duration, rounded towards zero.
+/// Numbers from outside may be larger than any duration; they count as this
+/// one.
+inline constexpr Duration kMaximumDuration = std::chrono::hours(24 * 365 * 30);
+
+/// Converts seconds to a duration, rounded towards zero and limited to
+/// kMaximumDuration. What is no number counts as zero.
 constexpr Duration FromSeconds(double seconds) {
+  if (seconds != seconds) {
+    return {};
+  }
   return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds));
+      std::chrono::duration<double>(std::clamp(
+          seconds, -ToSeconds(kMaximumDuration), ToSeconds(kMaximumDuration))));
+}
+
+/// Converts milliseconds to a duration, limited to kMaximumDuration.
+constexpr Duration FromMilliseconds(std::uint64_t milliseconds) {
+  constexpr std::uint64_t kMaximum =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kMaximumDuration)
+          .count();
+  return std::chrono::milliseconds(std::min(milliseconds, kMaximum));
 }
 
 }  // namespace crocus
--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -169,6 +169,8 @@
       return "prompt_parts_blocked";
     case Event::kPromptPartsUnblocked:
       return "prompt_parts_unblocked";
+    case Event::kStoreRecordsUnreadable:
+      return "store_records_unreadable";
   }
   return "unknown";
 }
@@ -248,6 +250,7 @@
     case Event::kGroupJoinFailed:
     case Event::kReplicaCrashed:
     case Event::kPromptPartsBlocked:
+    case Event::kStoreRecordsUnreadable:
       return Severity::kWarning;
     case Event::kSettingsRejected:
     case Event::kListenFailed:
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -93,6 +93,7 @@
   kReplicaCrashed = 735,
   kPromptPartsBlocked = 736,
   kPromptPartsUnblocked = 737,
+  kStoreRecordsUnreadable = 738,
 };
 
 /// Returns the event's name in the catalogue, such as "program_started".
--- a/Libraries/LibServing/keyed_record.h
+++ b/Libraries/LibServing/keyed_record.h
@@ -52,6 +52,8 @@
 /// Consecutive records of a topic.
 struct KeyedPage {
   std::vector<KeyedRecord> records;
+  /// Records that were left out because they have no key that can be read.
+  std::uint32_t unreadable_records = 0;
   /// Offset at which the next read starts.
   std::uint64_t next_offset = 0;
   /// End of the topic when it was read.
@@ -63,6 +65,10 @@
 /// A page of the newest records of the keys of a topic.
 struct NewestPage {
   std::vector<KeyedRecord> records;
+  /// Records that were left out because they cannot be read.
+  std::uint32_t unreadable_records = 0;
+  /// The last key of the page, also of a record that was left out.
+  std::string last_key;
   bool has_more = false;
   std::uint64_t end_offset = 0;
 
--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -660,8 +660,8 @@
                       {"reason", applied.error().message}});
           }
         }
-        if (page->has_more && !page->records.empty()) {
-          this->LoadProgress(partition, page->records.back().key, give_up_at);
+        if (page->has_more && !page->last_key.empty()) {
+          this->LoadProgress(partition, page->last_key, give_up_at);
           return;
         }
         this->OnProgressLoaded(partition);
--- a/Services/Gateway/keyed_follower.cc
+++ b/Services/Gateway/keyed_follower.cc
@@ -90,8 +90,9 @@
   }
   this->snapshot.insert(this->snapshot.end(), page.records.begin(),
                         page.records.end());
-  if (page.has_more && !page.records.empty()) {
-    this->snapshot_key = page.records.back().key;
+  this->LogUnreadable(page.unreadable_records, page.end_offset);
+  if (page.has_more && !page.last_key.empty()) {
+    this->snapshot_key = page.last_key;
     this->ReadSnapshot();
     return;
   }
@@ -136,7 +137,18 @@
       });
 }
 
+void KeyedFollower::LogUnreadable(std::uint32_t records,
+                                  std::uint64_t end_offset) const {
+  if (records > 0) {
+    LogEvent(Event::kStoreRecordsUnreadable,
+             {{"topic", this->options.topic},
+              {"records", std::to_string(records)},
+              {"end_offset", std::to_string(end_offset)}});
+  }
+}
+
 void KeyedFollower::OnPage(const KeyedPage& page, TimePoint sent) {
+  this->LogUnreadable(page.unreadable_records, page.end_offset);
   for (const auto& record : page.records) {
     // Two reads may be in flight at once; each record is passed to `on_record`
     // once.
@@ -145,6 +157,8 @@
       this->options.on_record(record);
     }
   }
+  // Records at the end may have been left out.
+  this->next_offset = std::max(*this->next_offset, page.next_offset);
   if (*this->next_offset >= page.end_offset) {
     this->synced_at = std::max(this->synced_at, sent);
   }
--- a/Services/Gateway/keyed_follower.h
+++ b/Services/Gateway/keyed_follower.h
@@ -64,6 +64,8 @@
   void FinishSnapshot();
   void ReadNextPage();
   void OnPage(const KeyedPage& page, TimePoint sent);
+  /// Logs that records of a page, read up to that offset, were left out.
+  void LogUnreadable(std::uint32_t records, std::uint64_t end_offset) const;
   void OnReadError(const Error& error);
   void OnStoreResponse();
   void Schedule(Duration delay);
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -209,6 +209,41 @@
   }
 }
 
+// Guards against an odd registry entry that ends the process, takes requests of
+// its endpoint, or keeps later entries from being read.
+TEST(Gateway_TwoReplicas, RegistryIsFollowedPastOddEntries) {
+  const auto entry = [](const std::string& address, const std::string& slots) {
+    return R"({"service":"model","zone":"waco-a","state":"ready","address":")" +
+           address + R"(","slots":)" + slots + "}";
+  };
+  int number = 0;
+  for (const auto& odd :
+       {std::string(200000, '['), entry("127.0.0.1:99999", "4"),
+        entry("127.0.0.1:1", "1e400"), entry("127.0.0.1:1", "4294967300"),
+        entry("127.0.0.1:1", std::string(100000, '[')),
+        entry("127.0.0.1:1", "1e20"), std::string("\xff\xfe")}) {
+    this->fleet.store.Put("keyed.servers", "odd-" + std::to_string(number++),
+                          odd);
+  }
+  this->fleet.store.Put("keyed.servers", "", entry("127.0.0.1:1", "4"));
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  // A gateway that starts now reads the entries as a snapshot.
+  this->fleet.StartGateway("later");
+  this->fleet.AddReplica("model", {.id = "i-3"});
+  this->fleet.UnregisterReplica("i-1");
+  this->fleet.UnregisterReplica("i-2");
+  this->fleet.RunFor(std::chrono::milliseconds(800));
+  for (const std::string gateway : {"gateway", "later"}) {
+    for (int i = 0; i < 6; ++i) {
+      const auto reply = this->fleet.Send(
+          gateway, GatewayFleet::MakeRequestHead(
+                       "stream", gateway + "-odd-" + std::to_string(i)));
+      CHECK_EQUAL(kOk, StatusOf(reply));
+    }
+  }
+  CHECK_EQUAL(12U, this->fleet.replicas.back()->runs().size());
+}
+
 // Guards against an older configuration replacing a newer one.
 TEST(Gateway_TwoReplicas, OlderConfigurationIsNotApplied) {
   this->fleet.PublishConfig({.version = 9, .extra_path = "extra"});
--- a/Tests/Platform/decoders_test.cc
+++ b/Tests/Platform/decoders_test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/batch_wire.h"
 #include "platform/config_decoder.h"
+#include "platform/names.h"
 #include "platform/replica_decoder.h"
 #include "platform/request_headers.h"
 #include "platform/store_codec.h"
@@ -74,6 +75,73 @@
   }
 }
 
+// Guards against an entry of another writer that gives a replica more slots
+// than it can have, an address that is none or a time that no type holds.
+TEST(ReplicaDecoder_OtherWriters, NumbersOutOfRangeAreErrors) {
+  const auto decode = [](const std::string& address, const std::string& slots,
+                         const std::string& rest) {
+    return DecodeReplica("i", R"({"service":"s","zone":"z","state":"ready",)"
+                              R"("address":")" +
+                                  address + R"(","slots":)" + slots + rest +
+                                  "}")
+        .has_value();
+  };
+  CHECK(decode("1.2.3.4:5", "8", ""));
+  CHECK(decode("1.2.3.4:5", "8.0", R"(,"cold_left_ms":12.5,"born":17e11)"));
+  for (const std::string slots :
+       {"0", "-1", "4294967304", "18446744073709551624", "1e20", "1e400", "8.5",
+        "\"8\"", "true", "null", "[8]"}) {
+    CHECK_FALSE(decode("1.2.3.4:5", slots, ""));
+  }
+  for (const std::string address :
+       {"", "1.2.3.4", "1.2.3.4:", "1.2.3.4:0", "1.2.3.4:65536",
+        "1.2.3.4:99999", "1.2.3.4:-5", "1.2.3.4:5x", "1.2.3:5", "host:5"}) {
+    CHECK_FALSE(decode(address, "8", ""));
+  }
+  for (const std::string rest :
+       {R"(,"cold_left_ms":1e300)", R"(,"cold_left_ms":-1)",
+        R"(,"cold_left_ms":"9")", R"(,"born":1e30)", R"(,"born":1.5)",
+        R"(,"born":-99999999999999999999)", R"(,"born":{})"}) {
+    CHECK_FALSE(decode("1.2.3.4:5", "8", rest));
+  }
+}
+
+// Guards against an entry whose nesting exhausts the stack or the memory.
+TEST(ReplicaDecoder_OtherWriters, DeeplyNestedEntriesAreErrors) {
+  constexpr std::size_t kDepth = 100000;
+  for (const std::string start : {"[", "{\"a\":"}) {
+    std::string text;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      text += start;
+    }
+    CHECK_FALSE(DecodeReplica("i", text).has_value());
+  }
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  CHECK_FALSE(
+      DecodeReplica("i", R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                         R"("slots":8,"state":"ready","more":)" +
+                             nested + "}")
+          .has_value());
+  // Brackets in a text are no nesting.
+  CHECK(DecodeReplica("i", R"({"service":"s","address":"1.2.3.4:5","zone":"z",)"
+                           R"("slots":8,"state":"ready","more":"\"[)" +
+                               std::string(kDepth, '[') + "\"}")
+            .has_value());
+}
+
+// Guards against an id that adds lines to the requests which name the replica.
+TEST(ReplicaDecoder_OtherWriters, IdsWithControlCharactersAreErrors) {
+  const std::string entry =
+      R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":8,)"
+      R"("state":"ready"})";
+  CHECK(DecodeReplica("i-7f3a91c2", entry).has_value());
+  for (const auto& id : {std::string("i\r\nX: 1"), std::string("i\n"),
+                         std::string("i\0", 2), std::string()}) {
+    CHECK_FALSE(DecodeReplica(id, entry).has_value());
+  }
+}
+
 TEST_GROUP(RequestHeaders_ForwardedRequest) {
   RequestHead head{.method = "POST", .target = "/a/b?c=1"};
 
@@ -169,8 +237,60 @@
   CHECK_FALSE(DecodeBase64("%%%%").has_value());
 }
 
+// Guards against a record that another writer has left without a key: the
+// records around it must still be read.
+TEST(StoreCodec_KeyedTopic, RecordsWithoutAKeyAreLeftOut) {
+  const auto record = [](const std::string& content) {
+    return std::string{0, 0, 0, static_cast<char>(content.size())} + content;
+  };
+  const std::string header(16, '\0');
+  const auto page = DecodePage(
+      header + record("\1av") + record("") + record("\7ab") + record("\1bv"),
+      5);
+  CHECK_TRUE(page.has_value());
+  CHECK_EQUAL(2U, page->records.size());
+  CHECK_EQUAL(5U, page->records[0].offset);
+  CHECK_EQUAL(8U, page->records[1].offset);
+  CHECK_EQUAL(9U, page->next_offset);
+}
+
+// Guards against the same in a page of newest records.
+TEST(StoreCodec_KeyedTopic, NewestRecordsThatCannotBeReadAreLeftOut) {
+  const auto page = DecodeNewest(
+      R"({"items":[{"key":"a","value":"dg==","offset":1},)"
+      R"({"key":"b","value":7,"offset":2},{"key":"c","value":"*","offset":3},)"
+      R"({"key":"d","offset":4},7,{"key":"e","value":"dg==","offset":-5},)"
+      R"({"key":"f","value":"dg==","offset":6}],"end_offset":7})");
+  CHECK_TRUE(page.has_value());
+  CHECK_EQUAL(2U, page->records.size());
+  STRCMP_EQUAL("f", page->records[1].key.c_str());
+}
+
 TEST_GROUP(BatchWire_Calls){};
 
+// Guards against times that no type holds: they must not end in the past.
+TEST(BatchWire_Calls, HugeTimesAreLongOnes) {
+  const std::string huge = "18446744073709551615";
+  HeaderFields fields;
+  fields.Add(std::string(header::kDeadline), huge);
+  CHECK(DecodeRequestMetadata(fields).timeout > std::chrono::hours(1));
+  RequestHead head{.method = "GET", .target = "/-/lots/job"};
+  head.fields.Add(std::string(header::kPollWait), huge);
+  CHECK(DecodeBatchCall(head)->wait > std::chrono::hours(1));
+}
+
+// Guards against token counts whose sum overflows, so that a submission passes
+// the limit of waiting tokens.
+TEST(BatchWire_Calls, TokenCountsOutOfRangeAreErrors) {
+  for (const std::string tokens :
+       {"-1", "1e30", "18446744073709551615", "1e400", "\"9\""}) {
+    CHECK_FALSE(DecodeSubmission(R"({"items":[{"id":"a","path":"/p",)"
+                                 R"("headers":{},"body":"","tokens":)" +
+                                 tokens + "}]}")
+                    .has_value());
+  }
+}
+
 // Guards against treating calls on jobs as requests of a route.
 TEST(BatchWire_Calls, CallsAreDistinguishedFromRequests) {
   RequestHead head{.method = "GET", .target = "/-/lots/7c?after=12"};
