Take no error object in an engine's stream for a token

Change: such an object stops the stream, and the call ends as a failure after which the engine may have run.

Result: on the code before, ObjectThatIsNoTokenStopsTheStream failed; it passes now.

--- a/Libraries/LibPlatform/token_reader.cc
+++ b/Libraries/LibPlatform/token_reader.cc
@@ -37,8 +37,14 @@
     this->cancelled = true;
     return true;
   }
-  if (!this->on_token(MemberOr(*json, "index", 0u),
-                      MemberOr(*json, "text", std::string()))) {
+  const auto index = json->find("index");
+  const auto text = json->find("text");
+  if (index == json->end() || !index->is_number_unsigned() ||
+      text == json->end() || !text->is_string()) {
+    // An error of the engine, for example, is no token.
+    return false;
+  }
+  if (!this->on_token(MemberOr(*json, "index", 0u), text->get<std::string>())) {
     this->cancelled = true;
     return false;
   }
--- a/Tests/LibPlatform/token_reader_test.cc
+++ b/Tests/LibPlatform/token_reader_test.cc
@@ -32,4 +32,24 @@
   }
 }
 
+TEST_GROUP(TokenReader_ErrorInTheStream) {
+  int tokens = 0;
+  const TokenHandler on_token = [this](std::uint32_t, const std::string&) {
+    ++this->tokens;
+    return true;
+  };
+  TokenReader reader{this->on_token};
+};
+
+// Guards against an error of the engine that counts as a token without text.
+TEST(TokenReader_ErrorInTheStream, ObjectThatIsNoTokenStopsTheStream) {
+  for (const std::string object :
+       {R"({"error":"overloaded"})", R"({"index":1})", R"({"text":"a"})",
+        R"({"index":"1","text":"a"})", R"({"index":1,"text":7})"}) {
+    CHECK_FALSE(this->reader.Add("data: " + object + "\n\n"));
+  }
+  CHECK_EQUAL(0, this->tokens);
+  CHECK_FALSE(this->reader.is_complete());
+}
+
 }  // namespace crocus
