Send nothing to a replica that announces in an answer that it leaves

A replica that leaves says so in all its answers (Server-Leaving: 1), and no request may reach it from a gateway later than drain_ms after that gateway has passed on such an answer. The header was not read; the registry may list the replica as ready all the while.

Change: ReplicaDepartures holds the belief for one boot of a replica. The directory leaves such replicas out for online requests, retries, resumed streams and batch items; what they run goes on. Line 739 and crocus_replicas_leaving show it. The soak's replicas that leave announce it half of the time.

--- a/Libraries/LibEvents/event_catalogue.cc
+++ b/Libraries/LibEvents/event_catalogue.cc
@@ -171,6 +171,8 @@
       return "prompt_parts_unblocked";
     case Event::kStoreRecordsUnreadable:
       return "store_records_unreadable";
+    case Event::kReplicaLeaving:
+      return "replica_leaving";
   }
   return "unknown";
 }
@@ -226,6 +228,7 @@
     case Event::kPeerChanged:
     case Event::kSettingsReloaded:
     case Event::kPromptPartsUnblocked:
+    case Event::kReplicaLeaving:
       return Severity::kInfo;
     case Event::kFrameRejected:
     case Event::kConnectionLost:
--- a/Libraries/LibEvents/event_catalogue.h
+++ b/Libraries/LibEvents/event_catalogue.h
@@ -94,6 +94,7 @@
   kPromptPartsBlocked = 736,
   kPromptPartsUnblocked = 737,
   kStoreRecordsUnreadable = 738,
+  kReplicaLeaving = 739,
 };
 
 /// Returns the event's name in the catalogue, such as "program_started".
--- a/Libraries/LibServing/replica_directory.cc
+++ b/Libraries/LibServing/replica_directory.cc
@@ -4,6 +4,19 @@
 
 namespace crocus {
 
+ReplicaBoot BootOf(const ReplicaRecord& record) {
+  return {.id = record.id,
+          .started_ms = record.started_ms,
+          .address = record.address};
+}
+
+bool ReplicaDirectory::OnLeavingAnnounced(const ReplicaBoot& boot,
+                                          TimePoint now) {
+  const ReplicaRecord* record = this->Find(boot.id);
+  return record != nullptr && BootOf(*record) == boot &&
+         this->announced_departures.OnAnnounced(boot, now);
+}
+
 void ReplicaDirectory::Update(const ReplicaRecord& record) {
   this->replicas[record.id] =
       Entry{.record = record, .remove_at = std::nullopt};
@@ -58,7 +71,8 @@
     const std::string& endpoint) const {
   std::vector<const ReplicaRecord*> available;
   for (const auto& [id, entry] : this->replicas) {
-    if (entry.record.endpoint == endpoint && !entry.record.is_draining) {
+    if (entry.record.endpoint == endpoint && !entry.record.is_draining &&
+        !this->announced_departures.IsLeaving(BootOf(entry.record))) {
       available.push_back(&entry.record);
     }
   }
--- a/Libraries/LibServing/replica_directory.h
+++ b/Libraries/LibServing/replica_directory.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "LibCore/time.h"
+#include "LibServing/replica_departures.h"
 
 namespace crocus {
 
@@ -35,6 +36,9 @@
   Duration expiry_grace = std::chrono::milliseconds(2000);
 };
 
+/// The boot that the entry describes.
+ReplicaBoot BootOf(const ReplicaRecord& record);
+
 /// The replicas of the platform's registry, to which requests may be sent.
 class ReplicaDirectory {
  public:
@@ -54,7 +58,13 @@
   void OnRegistryUnavailable(TimePoint now);
   void OnRegistryRecovered(TimePoint now);
 
-  /// Replicas of the endpoint that accept new requests.
+  /// An answer of that boot of a replica says that it leaves. Returns true if
+  /// that is new and the boot is registered.
+  bool OnLeavingAnnounced(const ReplicaBoot& boot, TimePoint now);
+  ReplicaDepartures& departures() { return this->announced_departures; }
+
+  /// Replicas of the endpoint that accept new requests: those that neither the
+  /// registry nor an answer of their own describes as leaving.
   std::vector<const ReplicaRecord*> Available(
       const std::string& endpoint) const;
   const ReplicaRecord* Find(const std::string& id) const;
@@ -74,6 +84,7 @@
 
   const ReplicaDirectoryOptions options;
   std::map<std::string, Entry> replicas;
+  ReplicaDepartures announced_departures;
   bool is_registry_unavailable = false;
   std::optional<TimePoint> recovered_at;
 };
--- a/Libraries/LibServing/request_metadata.h
+++ b/Libraries/LibServing/request_metadata.h
@@ -58,6 +58,8 @@
   bool is_matched = false;
   /// The request reached another replica than the one addressed.
   bool is_misdirected = false;
+  /// The replica that responds leaves and takes no further requests.
+  bool is_leaving = false;
   /// The response carries a signature of the replica.
   bool is_signed = false;
   /// Requests that ran and waited at the replica when the response began.
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -295,9 +295,22 @@
               {"reason", "registry"}});
     this->loads.ResetHealth(record.key);
   }
+  this->LogEndedDepartures(
+      this->directory.departures().OnRegistered(BootOf(*decoded), now));
   this->directory.Update(*decoded);
 }
 
+void Gateway::LogEndedDepartures(
+    const std::vector<EndedDeparture>& departures) {
+  for (const auto& departure : departures) {
+    LogEvent(Event::kReplicaLeaving,
+             {{"replica", departure.replica},
+              {"state", "ended"},
+              {"reason", departure.reason},
+              {"age_ms", MillisecondsText(departure.age)}});
+  }
+}
+
 SessionLimits Gateway::CallerLimits() const {
   SessionLimits limits;
   if (this->config) {
@@ -383,6 +396,7 @@
   add("crocus_replica_connections_total", this->pool.connections_opened());
   add("crocus_caller_connections", this->caller_listener.open_sessions());
   add("crocus_replicas_known", this->directory.size());
+  add("crocus_replicas_leaving", this->directory.departures().size());
   add("crocus_batch_items_running", this->batch_service->runner().running());
   add("crocus_batch_results_unwritten", this->batch_service->unwritten());
   add("crocus_replica_crashes_total", this->crash_watch.crashes());
@@ -448,6 +462,7 @@
               {"reason", "not registered again in time"}});
     this->pool.CloseIdle(replica);
   }
+  this->LogEndedDepartures(this->directory.departures().Expire(BootTimeNow()));
   this->LogReadinessChange();
   this->CheckShutdown();
   this->tick_timer.expires_after(kTickInterval);
--- a/Services/Gateway/gateway.h
+++ b/Services/Gateway/gateway.h
@@ -51,6 +51,7 @@
   void HandleBlockedParts(const std::shared_ptr<ServerSession>& session,
                           const Request& request);
   void LogBlockChanges();
+  static void LogEndedDepartures(const std::vector<EndedDeparture>& departures);
   SessionLimits CallerLimits() const;
   bool is_ready() const;
   /// Logs the readiness if it has changed.
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -33,6 +33,10 @@
 
 void ReplicaAttempt::Start() {
   this->start_time = BootTimeNow();
+  if (const auto* record =
+          this->context.directory.Find(this->options.replica)) {
+    this->boot = BootOf(*record);
+  }
   const auto address = ParsePeerAddress(this->options.address);
   if (!address) {
     boost::asio::post(this->context.loop, [self = this->shared_from_this(),
@@ -72,6 +76,9 @@
     // It may be a copy of an earlier response.
     return HeadDecision::kReject;
   }
+  if (response_metadata.is_leaving && !response_metadata.is_misdirected) {
+    this->OnLeaving();
+  }
   if (response_metadata.is_not_run) {
     this->refusal_reason =
         "replica returned status " + std::to_string(head.status);
@@ -84,6 +91,18 @@
   return HeadDecision::kAccept;
 }
 
+void ReplicaAttempt::OnLeaving() {
+  const TimePoint now = BootTimeNow();
+  if (!this->context.directory.OnLeavingAnnounced(this->boot, now)) {
+    return;
+  }
+  LogEvent(Event::kReplicaLeaving, {{"replica", this->options.replica},
+                                    {"state", "began"},
+                                    {"reason", "announced in an answer"},
+                                    {"age_ms", "0"}});
+  this->context.pool.CloseIdle(this->options.replica);
+}
+
 void ReplicaAttempt::OnBody(std::string_view bytes) {
   if (this->is_ended) {
     return;
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -70,6 +70,8 @@
  private:
   HeadDecision OnHead(const ResponseHead& head);
   void OnBody(std::string_view bytes);
+  /// The replica says that it leaves: it gets no further requests.
+  void OnLeaving();
   void OnExchangeEnd(ExchangeEnd end, const std::string& reason);
   void Release();
 
@@ -77,6 +79,8 @@
   AttemptOptions options;
   std::shared_ptr<ClientConnection> connection;
   TimePoint start_time{};
+  /// The boot of the replica at the start of the attempt.
+  ReplicaBoot boot;
   boost::asio::ip::tcp::endpoint endpoint;
   bool ends_with_connection = false;
   bool is_success = false;
--- a/Tests/Gateway/online_test.cc
+++ b/Tests/Gateway/online_test.cc
@@ -183,6 +183,49 @@
   CHECK_TRUE(this->first->runs().empty());
 }
 
+// Guards against requests to a replica that announces in its answers that it
+// leaves, while its registry entry stays ready and is written again.
+TEST(Gateway_TwoReplicas, ReplicaThatAnnouncesItsDepartureGetsNoRequests) {
+  this->first->set_faults({.announces_leaving = true});
+  for (int i = 0; this->first->runs().empty(); ++i) {
+    CHECK_EQUAL(kOk, StatusOf(this->Send("stream", "s" + std::to_string(i))));
+  }
+  const std::size_t runs = this->first->runs().size();
+  this->fleet.RegisterReplica("i-1", "model", this->first->port(), "ready");
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  CHECK_EQUAL(
+      202U, StatusOf(this->fleet.Submit("gateway", "job", {"item1", "item2"})));
+  for (int i = 0; i < 20; ++i) {
+    const std::string kind = i % 2 == 0 ? "stream" : "resumable";
+    CHECK_EQUAL(kOk, StatusOf(this->Send(kind, "t" + std::to_string(i))));
+  }
+  CHECK_TRUE(this->fleet.RunUntil([this] {
+    const auto page = this->fleet.ReadResults("gateway", "job");
+    return !page.is_null() && page["results"].size() == 2;
+  }));
+  CHECK_EQUAL(runs, this->first->runs().size());
+}
+
+// Guards against requests that wait until their time is up because the only
+// replica leaves.
+TEST(Gateway_TwoReplicas, RequestsAreRefusedAtOnceWhenAllReplicasLeave) {
+  this->SetFaults({.announces_leaving = true});
+  for (int i = 0; i < 2; ++i) {
+    CHECK_EQUAL(kOk, StatusOf(this->Send("stream", "s" + std::to_string(i))));
+  }
+  const TimePoint start = BootTimeNow();
+  const auto reply = this->Send("stream", "late");
+  CHECK_EQUAL(503U, StatusOf(reply));
+  CHECK(reply->head.fields.Find(platform::header::kRetryAfter).has_value());
+  CHECK(BootTimeNow() - start < std::chrono::milliseconds(500));
+  CHECK_EQUAL(0U, this->fleet.RunsOf("late"));
+  // A replica that has started again is used.
+  this->fleet.RegisterReplica("i-1", "model", this->first->port(), "ready", 2);
+  this->first->set_faults({});
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  CHECK_EQUAL(kOk, StatusOf(this->Send("stream", "next-boot")));
+}
+
 // Guards against running a request at another replica that has taken over the
 // address of the chosen one.
 TEST(Gateway_TwoReplicas, SuccessorAtTheSameAddressDoesNotRunTheRequest) {
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -73,7 +73,8 @@
 void GatewayFleet::RegisterReplica(const std::string& id,
                                    const std::string& endpoint,
                                    std::uint16_t port,
-                                   const std::string& state) {
+                                   const std::string& state,
+                                   std::int64_t started_ms) {
   this->store.Put("keyed.servers", id,
                   json{{"service", endpoint},
                        {"address", "127.0.0.1:" + std::to_string(port)},
@@ -82,7 +83,8 @@
                        {"slots", 4},
                        {"state", state},
                        {"cold_left_ms", 0},
-                       {"sequence", 1}}
+                       {"sequence", 1},
+                       {"born", started_ms}}
                       .dump());
 }
 
--- a/Tests/PlatformStandin/gateway_fleet.h
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -62,7 +62,8 @@
   void RegisterReplica(const std::string& id,
                        const std::string& endpoint,
                        std::uint16_t port,
-                       const std::string& state);
+                       const std::string& state,
+                       std::int64_t started_ms = 1);
   void UnregisterReplica(const std::string& id);
 
   void PublishConfig(const FleetConfig& config);
--- a/Tests/PlatformStandin/replica_standin.cc
+++ b/Tests/PlatformStandin/replica_standin.cc
@@ -84,6 +84,9 @@
   HeaderFields refusal;
   refusal.Add(std::string(header::kNotExecuted), "1");
   refusal.Add(std::string(header::kAttemptId), id);
+  if (this->faults.announces_leaving) {
+    refusal.Add(std::string(header::kLeaving), "1");
+  }
   if (fields.Find(header::kExpectInstance).value_or("") != this->options.id) {
     session->Respond(421, refusal, "");
     return;
@@ -135,6 +138,9 @@
   }
   HeaderFields fields;
   fields.Add(std::string(header::kAttemptId), run->id);
+  if (this->faults.announces_leaving) {
+    fields.Add(std::string(header::kLeaving), "1");
+  }
   fields.Add(std::string(header::kServerLoad),
              std::to_string(this->running_count) + "," +
                  std::to_string(this->queued.size()) + "," +
--- a/Tests/PlatformStandin/replica_standin.h
+++ b/Tests/PlatformStandin/replica_standin.h
@@ -41,6 +41,8 @@
   Duration restart_time = std::chrono::milliseconds(500);
   /// Requests are accepted and get no response.
   bool is_unresponsive = false;
+  /// All answers, refusals too, announce that the replica leaves.
+  bool announces_leaving = false;
 };
 
 struct ReplicaStandinOptions {
--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -428,11 +428,17 @@
       return;
     case 6: {
       this->LogFault("drain " + replica.standin->id());
-      this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
-                                  replica.proxy->port(), "draining");
+      if (this->random.Chance(0.5)) {
+        replica.standin->set_faults({.announces_leaving = true});
+      } else {
+        this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
+                                    replica.proxy->port(), "draining");
+      }
       this->RunAfter(this->RandomFaultDuration(), [this, &replica] {
+        replica.standin->set_faults({});
         this->fleet.RegisterReplica(replica.standin->id(), replica.endpoint,
-                                    replica.proxy->port(), "ready");
+                                    replica.proxy->port(), "ready",
+                                    ++this->last_boot);
       });
       return;
     }
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -96,6 +96,8 @@
   std::vector<Replica> replicas;
   std::list<std::shared_ptr<boost::asio::steady_timer>> timers;
   std::uint64_t next_id = 0;
+  /// Start of the replica that has started last, as the registry tells it.
+  std::int64_t last_boot = 1;
   std::uint64_t config_version = 7;
   /// True once callers send no further requests and no faults are injected.
   bool is_ending = false;
