Read bodies and texts of more than a page after the history is forgotten

Cause: one page of newest records was read and has_more ignored, so the parts of a body of more than 1 MB were never together.

Change: further pages are read, from the last key of each, while they have keys of the body or text. The store's stand-in limits its pages to 1 MB, as the platform does.

--- a/Services/Gateway/batch_data_reader.cc
+++ b/Services/Gateway/batch_data_reader.cc
@@ -1,5 +1,6 @@
 #include "Gateway/batch_data_reader.h"
 
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -88,29 +89,40 @@
             return;
           }
         }
-        this->ReadFromNewest(place, key_prefix, on_done);
+        this->ReadFromNewest(place, key_prefix, on_done, key_prefix,
+                             std::make_shared<std::vector<KeyedRecord>>());
       });
 }
 
-void BatchDataReader::ReadFromNewest(const records::DataPlace& place,
-                                     const std::string& key_prefix,
-                                     Callback on_done) {
+void BatchDataReader::ReadFromNewest(
+    const records::DataPlace& place,
+    const std::string& key_prefix,
+    Callback on_done,
+    const std::string& after_key,
+    std::shared_ptr<std::vector<KeyedRecord>> earlier) {
   this->store.ReadNewest(
-      {.topic = this->options.topic, .partition = place.partition}, key_prefix,
+      {.topic = this->options.topic, .partition = place.partition}, after_key,
       kNewestTimeout,
-      [this, place, key_prefix, on_done = std::move(on_done)](auto page) {
+      [this, place, key_prefix, on_done = std::move(on_done),
+       earlier = std::move(earlier)](auto page) {
         if (!page) {
           on_done(tl::unexpected(page.error()));
           return;
         }
-        auto joined = JoinParts(page->records, place, key_prefix);
-        if (!joined) {
-          on_done(Failure(ErrorCode::kNotFound,
-                          "the store has no such body or text"));
+        std::move(page->records.begin(), page->records.end(),
+                  std::back_inserter(*earlier));
+        if (auto joined = JoinParts(*earlier, place, key_prefix)) {
+          this->AddToCache(key_prefix, *joined);
+          on_done(std::move(*joined));
+          return;
+        }
+        if (page->has_more && page->last_key.starts_with(key_prefix)) {
+          this->ReadFromNewest(place, key_prefix, on_done, page->last_key,
+                               earlier);
           return;
         }
-        this->AddToCache(key_prefix, *joined);
-        on_done(std::move(*joined));
+        on_done(Failure(ErrorCode::kNotFound,
+                        "the store has no such body or text"));
       });
 }
 
--- a/Services/Gateway/batch_data_reader.h
+++ b/Services/Gateway/batch_data_reader.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -48,11 +50,14 @@
   void ReadFromLog(const records::DataPlace& place,
                    const std::string& key_prefix,
                    Callback on_done);
-  /// Reads the newest records of the keys. The log of a partition is deleted
-  /// after a while, the newest record of each key is not.
+  /// Reads the newest records of the keys after `after_key`, page by page. The
+  /// log of a partition is deleted after a while, the newest record of each key
+  /// is not. `earlier` has the records of the pages before.
   void ReadFromNewest(const records::DataPlace& place,
                       const std::string& key_prefix,
-                      Callback on_done);
+                      Callback on_done,
+                      const std::string& after_key,
+                      std::shared_ptr<std::vector<KeyedRecord>> earlier);
   void AddToCache(const std::string& key_prefix, const std::string& bytes);
 
   boost::asio::io_context& loop;
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -147,6 +147,26 @@
   CHECK_TRUE(this->WaitForResults("sound", 6, std::chrono::seconds(8)));
 }
 
+// Guards against a body or text of more than one page of newest records that
+// can't be read any more once the store has forgotten its history.
+TEST(GatewayBatch_OneGateway, LargeBodyIsReadAfterTheHistoryIsForgotten) {
+  constexpr std::size_t kBodyBytes = 2'400'000;
+  const std::string body(kBodyBytes / 3 * 4, 'A');
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "large", {"large-i"},
+                                                {.body = body})));
+  this->fleet.store.CompactAll("keyed.crocus");
+  RequestHead head{
+      .method = "GET",
+      .target = std::string(platform::call::kItemPrefix) + "large?id=large-i"};
+  head.fields.Add("Host", "shop.example");
+  const auto read = this->fleet.Send("a", std::move(head));
+  CHECK_EQUAL(200U, StatusOf(read));
+  CHECK(read->body == std::string(kBodyBytes, '\0'));
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_TRUE(this->WaitForResults("large", 1, std::chrono::seconds(8)));
+}
+
 // Guards against items that are never listed because a configuration has
 // dropped their route. Those that run are finished.
 TEST(GatewayBatch_OneGateway, ItemsOfADroppedRouteAreAbandoned) {
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -17,6 +17,7 @@
 
 constexpr std::uint32_t kPartitions = 12;
 constexpr std::size_t kPageRecords = 500;
+constexpr std::size_t kPageBytes = 1u << 20;
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kLengthBytes = 4;
 
@@ -312,11 +313,14 @@
   ++this->page_counts[PartitionName(request)];
   json items = json::array();
   bool has_more = false;
+  std::size_t bytes = 0;
   for (const auto& [key, record] : topic.newest) {
     if (key <= after) {
       continue;
     }
-    if (items.size() >= kPageRecords) {
+    bytes += record.value->size();
+    if (items.size() >= kPageRecords ||
+        (bytes > kPageBytes && !items.empty())) {
       has_more = true;
       break;
     }
