--- a/Services/Gateway/batch_service.cc
+++ b/Services/Gateway/batch_service.cc
@@ -279,7 +279,7 @@
   session->Respond(
       status,
       is_refusal ? platform::RefusalFields(kRefusalRetryAfter) : HeaderFields(),
-      "");
+      status == http_status::kBadRequest ? outcome + "\n" : "");
   LogEvent(Event::kJobSubmissionEnded,
            {{"request", job.job},
             {"route", job.route},
--- a/Tests/Platform/decoders_test.cc
+++ b/Tests/Platform/decoders_test.cc
@@ -318,4 +318,28 @@
   }
 }
 
+// Guards against items whose fields add lines to the requests that run them.
+TEST(BatchWire_Calls, ItemsThatChangeTheirRequestAreErrors) {
+  const auto decode = [](const std::string& id, const std::string& path,
+                         const std::string& name, const std::string& value) {
+    return DecodeSubmission(R"({"items":[{"id":")" + id + R"(","path":")" +
+                            path + R"(","headers":{")" + name + R"(":")" +
+                            value + R"("},"body":"","tokens":1}]})")
+        .has_value();
+  };
+  CHECK(decode("a1", "/p?q=1", "X-Note", "a b\\tc"));
+  for (const std::string bad : {"\\r\\nX: 1", "\\n", "\\r", "\\u0000"}) {
+    CHECK_FALSE(decode("a" + bad, "/p", "X-Note", "n"));
+    CHECK_FALSE(decode("a", "/p" + bad, "X-Note", "n"));
+    CHECK_FALSE(decode("a", "/p", "X-Note" + bad, "n"));
+    CHECK_FALSE(decode("a", "/p", "X-Note", "n" + bad));
+  }
+  CHECK_FALSE(decode("a", "/p HTTP/1.1", "X-Note", "n"));
+  CHECK_FALSE(decode("a", "p", "X-Note", "n"));
+  CHECK_FALSE(decode("a", "/p", "X Note", "n"));
+  CHECK_FALSE(decode("a", "/p", "X:Note", "n"));
+  CHECK_FALSE(decode("a", "/p", "", "n"));
+  CHECK_FALSE(decode("", "/p", "X-Note", "n"));
+}
+
 }  // namespace crocus::platform
