Accept fractions in durations of settings

Cause: with grace_s = 7.5, which DEPLOY.md allows, "7.5s" was no duration and the gateway did not start.

Change: a duration may have a decimal point; it is rounded to milliseconds.

Result: on the code before, DurationAcceptsFractions failed; it passes now.

--- a/Libraries/LibSettings/setting_reader.cc
+++ b/Libraries/LibSettings/setting_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <sstream>
 #include <string_view>
 
@@ -163,11 +164,12 @@
     return;
   }
   const auto unit_at = std::find_if_not(
-      entry->value.begin(), entry->value.end(),
-      [](unsigned char character) { return std::isdigit(character) != 0; });
+      entry->value.begin(), entry->value.end(), [](unsigned char character) {
+        return std::isdigit(character) != 0 || character == '.';
+      });
   const std::string digits(entry->value.begin(), unit_at);
   const std::string unit = Trim(std::string(unit_at, entry->value.end()));
-  std::uint64_t number = 0;
+  double number = 0;
   std::uint64_t factor = 0;
   if (unit.empty() || unit == "ms") {
     factor = 1;
@@ -180,10 +182,9 @@
     this->AddError(*entry, "must be a duration such as 250ms, 3s or 2min");
     return;
   }
-  const double milliseconds =
-      static_cast<double>(number) * static_cast<double>(factor);
+  const double milliseconds = number * static_cast<double>(factor);
   if (this->CheckRange(*entry, limits, milliseconds)) {
-    value = std::chrono::milliseconds(number * factor);
+    value = std::chrono::milliseconds(std::llround(milliseconds));
   }
 }
 
--- a/Tests/LibSettings/settings_test.cc
+++ b/Tests/LibSettings/settings_test.cc
@@ -94,4 +94,24 @@
   CHECK(settings->limits.default_patience == std::chrono::seconds(2));
 }
 
+// Guards against a program that does not start because the platform gives one
+// of its times as a fraction.
+TEST(EntrySettings_Parsing, DurationAcceptsFractions) {
+  const auto read = [](const std::string& value) {
+    const auto document =
+        ParseIni("entry.ini", std::string(kValidEntry) +
+                                  "[limits]\ndefault_patience=" + value);
+    const auto settings = ParseEntrySettings(*document);
+    return settings ? settings->limits.default_patience
+                    : std::chrono::milliseconds(0);
+  };
+  CHECK(read("7.5s") == std::chrono::milliseconds(7500));
+  CHECK(read("0.25min") == std::chrono::seconds(15));
+  CHECK(read("4.0s") == std::chrono::seconds(4));
+  for (const std::string value :
+       {"s", ".s", "7.5.1s", "-7s", "1e3s", "nan s"}) {
+    CHECK(read(value) == std::chrono::milliseconds(0));
+  }
+}
+
 }  // namespace crocus
