Write results whose text is larger than one call to the store

Change: a record that is too large for a call is flushed alone, its parts in several calls. Other records may come between; readers then find the parts by their keys. The size of a record counts the overhead of each of its parts. The store's stand-in refuses calls of more than 2 MB, as the platform does.

--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -305,8 +305,7 @@
   std::uint64_t bytes = 0;
   std::size_t count = 0;
   for (const auto& record : this->pending) {
-    const std::uint64_t size =
-        record.value.size() + record.finished.text.size() + kRecordOverhead;
+    const std::uint64_t size = this->AppendBytes(record);
     if (count > 0 && bytes + size > this->options.call_bytes) {
       break;
     }
@@ -314,7 +313,61 @@
     ++count;
   }
   this->is_flushing = true;
-  this->AppendTexts(count);
+  // Flush takes a record that is too large for a call alone.
+  if (bytes > this->options.call_bytes) {
+    this->AppendLargeText();
+  } else {
+    this->AppendTexts(count);
+  }
+}
+
+std::uint64_t BatchWriter::AppendBytes(const PendingRecord& record) const {
+  const std::uint64_t text = record.finished.text.size();
+  const std::uint64_t parts = text / this->MaximumPartBytes() + 1;
+  return record.value.size() + text + parts * kRecordOverhead;
+}
+
+void BatchWriter::AppendLargeText() {
+  const PendingRecord& record = this->pending.front();
+  if (record.text) {
+    this->AppendResults(1);
+    return;
+  }
+  const TopicPartition place = this->DataPartition(record.finished.job);
+  auto calls = std::make_shared<std::deque<std::vector<KeyedWrite>>>(1);
+  auto text = std::make_shared<records::DataPlace>(records::DataPlace{
+      .partition = place.partition, .bytes = record.finished.text.size()});
+  const auto first_offset = std::make_shared<std::optional<std::uint64_t>>();
+  std::uint64_t bytes = 0;
+  for (auto& write : this->SplitIntoParts(
+           TextKeyPrefix(record.finished.job, record.finished.item,
+                         this->options.writer),
+           record.finished.text)) {
+    const std::uint64_t size = write.value->size() + kRecordOverhead;
+    if (bytes + size > this->options.call_bytes) {
+      calls->emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    ++text->parts;
+    calls->back().push_back(std::move(write));
+  }
+  // Other records may come between the calls. Readers then find the parts by
+  // their keys.
+  this->AppendInSequence(
+      place, std::move(calls),
+      [first_offset](std::uint64_t offset) {
+        *first_offset = first_offset->value_or(offset);
+      },
+      [this, text, first_offset](const auto& result) {
+        if (!result) {
+          this->OnFlushFailed(1, result.error());
+          return;
+        }
+        text->offset = first_offset->value_or(0);
+        this->pending.front().text = *text;
+        this->AppendResults(1);
+      });
 }
 
 void BatchWriter::AppendTexts(std::size_t count) {
--- a/Services/Gateway/batch_writer.h
+++ b/Services/Gateway/batch_writer.h
@@ -111,6 +111,11 @@
       std::shared_ptr<std::deque<std::vector<KeyedWrite>>> calls,
       std::function<void(std::uint64_t)> on_offset,
       std::function<void(Result<void>)> on_done);
+  /// Size of the record in an append, with all records of its text.
+  std::uint64_t AppendBytes(const PendingRecord& record) const;
+  /// Appends the text of the first pending record, which is too large for one
+  /// call, in several ones, and then its result.
+  void AppendLargeText();
   /// Appends the texts of the first `count` pending records that are not in the
   /// store yet, one partition after the other.
   void AppendTexts(std::size_t count);
--- a/Tests/Gateway/faulty_replica_test.cc
+++ b/Tests/Gateway/faulty_replica_test.cc
@@ -196,6 +196,40 @@
   CHECK_FALSE(is_running);
 }
 
+// Guards against a result that is larger than one call to the store may be, and
+// that keeps all later results of its gateway from being written.
+TEST(Gateway_FaultyReplica, TextAboveACallOfTheStoreIsWritten) {
+  const std::string part(100'000, 'x');
+  constexpr int kParts = 30;
+  this->AddReplica("i-1", "model", [&part](const ScriptedRequest& request) {
+    std::string events;
+    for (int i = 0; i < (request.id == "large" ? kParts : 1); ++i) {
+      events += "id: " + std::to_string(i) + "\ndata: " + part + "\n\n";
+    }
+    return ScriptedResponse{
+        .bytes =
+            Head("200 OK", request.id,
+                 Field(platform::header::kSignature, "s") +
+                     Field("Content-Type", "text/event-stream") +
+                     Field("Content-Length", std::to_string(events.size()))) +
+            events};
+  });
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(202U,
+              this->fleet.Submit("a", "job", {"large", "small"})->head.status);
+  std::map<std::string, std::size_t> sizes;
+  CHECK(this->fleet.RunUntil([&, this] {
+    const auto page = this->fleet.ReadResults("a", "job", sizes.size());
+    for (const auto& result :
+         page.is_null() ? nlohmann::json::array() : page["results"]) {
+      sizes[result["id"]] = result["text"].get<std::string>().size();
+    }
+    return sizes.size() == 2;
+  }));
+  CHECK_EQUAL(part.size(), sizes["small"]);
+  CHECK_EQUAL(kParts * (part.size() + 1) - 1, sizes["large"]);
+}
+
 namespace {
 
 const std::string kStreamFields = Field(platform::header::kSignature, "s") +
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -18,6 +18,7 @@
 constexpr std::uint32_t kPartitions = 12;
 constexpr std::size_t kPageRecords = 500;
 constexpr std::size_t kPageBytes = 1u << 20;
+constexpr std::size_t kCallBytes = 2u << 20;
 constexpr Duration kTickInterval = std::chrono::milliseconds(20);
 constexpr std::size_t kLengthBytes = 4;
 
@@ -222,6 +223,10 @@
   const std::string topic = PartitionName(request);
   const std::uint64_t offset = this->topics[topic].end_offset;
   std::string_view rest = request.body;
+  if (rest.size() > kCallBytes) {
+    session->Respond(413, {}, "");
+    return;
+  }
   ++this->append_count;
   while (rest.size() > kLengthBytes) {
     std::size_t length = 0;
