Write bodies that are larger than one call to the store

Cause: all parts of a body were put into one append, so a submission with a body of more than 2 MB, which body_bytes allows, was refused with 503 each time.

Change: the parts of such a body go into several calls, like those of a text.

--- a/Services/Gateway/batch_writer.cc
+++ b/Services/Gateway/batch_writer.cc
@@ -69,19 +69,28 @@
         {.partition = place.partition,
          .parts = static_cast<std::uint32_t>(writes.size()),
          .bytes = items[i].body.size()});
-    // The parts of a body stay together, so that one read returns them.
-    const std::uint64_t size =
-        items[i].body.size() + writes.size() * kRecordOverhead;
-    if (bytes + size > this->options.call_bytes && !calls->back().empty()) {
+    // The parts of a body stay together, so that one read returns them, unless
+    // the body alone is too large for a call. Then readers find them by their
+    // keys.
+    const auto start_call = [&calls, &starts, &bytes] {
       calls->emplace_back();
       starts->emplace_back();
       bytes = 0;
+    };
+    const std::uint64_t size =
+        items[i].body.size() + writes.size() * kRecordOverhead;
+    if (bytes + size > this->options.call_bytes && !calls->back().empty()) {
+      start_call();
     }
-    bytes += size;
     starts->back().emplace_back(i, calls->back().size());
-    calls->back().insert(calls->back().end(),
-                         std::make_move_iterator(writes.begin()),
-                         std::make_move_iterator(writes.end()));
+    for (auto& write : writes) {
+      const std::uint64_t part_size = write.value->size() + kRecordOverhead;
+      if (bytes + part_size > this->options.call_bytes) {
+        start_call();
+      }
+      bytes += part_size;
+      calls->back().push_back(std::move(write));
+    }
     job.items.push_back(std::move(items[i].spec));
   }
   stored->accepted = std::move(job);
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -147,8 +147,9 @@
   CHECK_TRUE(this->WaitForResults("sound", 6, std::chrono::seconds(8)));
 }
 
-// Guards against a body or text of more than one page of newest records that
-// can't be read any more once the store has forgotten its history.
+// Guards against a body of more than one call to the store, which was refused
+// each time, and against one of more than one page of newest records that can't
+// be read any more once the store has forgotten its history.
 TEST(GatewayBatch_OneGateway, LargeBodyIsReadAfterTheHistoryIsForgotten) {
   constexpr std::size_t kBodyBytes = 2'400'000;
   const std::string body(kBodyBytes / 3 * 4, 'A');
