End a test's programs with it, also when it aborts

Change: StartedProcesses knows the ids of the programs that were started and not waited for; an abort, interrupt or termination kills them by id.

--- a/Tests/Processes/process_fleet.cc
+++ b/Tests/Processes/process_fleet.cc
@@ -13,6 +13,7 @@
 #include <thread>
 
 #include "LibCore/assertions.h"
+#include "Processes/started_processes.h"
 
 extern char** environ;
 
@@ -58,6 +59,7 @@
   for (auto& [name, process] : this->processes) {
     if (process.id > 0) {
       waitpid(process.id, nullptr, 0);
+      StartedProcesses::Remove(process.id);
     }
   }
   std::error_code ignored;
@@ -86,6 +88,7 @@
                                 pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   VERIFY(error == 0);
+  StartedProcesses::Add(id);
   this->processes[name] = {.id = id, .arguments = std::move(arguments)};
 }
 
@@ -155,6 +158,7 @@
   if (!has_ended) {
     return -1;
   }
+  StartedProcesses::Remove(process.id);
   process.id = -1;
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
--- a/Tests/Processes/process_fleet.h
+++ b/Tests/Processes/process_fleet.h
@@ -60,6 +60,9 @@
   /// example "http" or "internal".
   std::uint16_t Port(const std::string& name, const std::string& kind);
   std::string ReadLogFile(const std::string& name) const;
+  pid_t ProcessId(const std::string& name) const {
+    return this->processes.at(name).id;
+  }
   /// Resident memory of a process in bytes, from /proc.
   std::uint64_t ResidentBytes(const std::string& name) const;
   /// User and system processor time of a process in seconds, from /proc.
