--- a/Tests/Processes/started_processes.cc
+++ b/Tests/Processes/started_processes.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <atomic>
+#include <mutex>
 
 #include "LibCore/assertions.h"
 
@@ -26,11 +27,10 @@
   raise(signal_number);
 }
 
-bool InstallHandlers() {
+void InstallHandlers() {
   for (const int signal_number : {SIGABRT, SIGINT, SIGTERM}) {
     signal(signal_number, KillAll);
   }
-  return true;
 }
 
 /// Sets the first place that has `from`. False if none has it.
@@ -47,7 +47,8 @@
 }  // namespace
 
 void StartedProcesses::Add(pid_t id) {
-  [[maybe_unused]] static const bool has_handlers = InstallHandlers();
+  static std::once_flag once;
+  std::call_once(once, InstallHandlers);
   VERIFY(Replace(0, id));
 }
 
