Take no response whose head was cut off for an answer

A replica that stops in the middle of its answer's head and closes was reported by other operators. crocus-gateway is not affected; crocus-daemon was: a command was reported as done, and a prompt as rejected, after a status line alone.

Cause: the HTTP library reports the end of the connection within a head as the end of a response without a body, unless a length or chunks were announced. Change: a response needs a part of its body, a stated framing, or a status that allows no body. Otherwise the call fails and may have run.

Before: IsNoAnswerWhereverItIsCut failed for 200, 201 and 422 without a length or chunks, at each cut behind the status line; CommandIsNotReportedAsDone failed. After: both pass, in 0.2 s.

Gateway_TruncatedHead shows the gateway's side: the head cut at each byte or beside each line end, four framings, closed and reset, on new, kept and half-sent connections, streams and plain requests. It passed at once, and so did three rows of TakesOnlyWhatContinuesIt for resumed streams.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -58,14 +58,28 @@
 
 struct BodyReceiver {
   const BodyPartHandler& on_part;
+  bool has_received = false;
   bool is_aborted = false;
 };
 
+/// Whether the reply shows that its head has arrived to the end. The library
+/// reports a connection that ends within the head as the end of a response
+/// without a body, unless the framing that it has read by then says otherwise.
+bool HasWholeHead(const HttpReply& reply, const BodyReceiver& receiver) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return receiver.has_received || reply.status == kNoContent ||
+         reply.status == kNotModified ||
+         reply.headers.contains("content-length") ||
+         reply.headers.contains("transfer-encoding");
+}
+
 std::size_t OnBodyPart(void* contents,
                        std::size_t size,
                        std::size_t count,
                        void* user) {
   auto* receiver = static_cast<BodyReceiver*>(user);
+  receiver->has_received = true;
   if (!receiver->on_part({static_cast<const char*>(contents), size * count})) {
     receiver->is_aborted = true;
     return 0;
@@ -112,7 +126,13 @@
     return Failure(ErrorCode::kUnavailable, call.url + ": no complete response",
                    Verdict::kMayHaveRun);
   }
-  return exchange.Reply();
+  HttpReply reply = exchange.Reply();
+  if (!HasWholeHead(reply, receiver)) {
+    return Failure(ErrorCode::kUnavailable,
+                   call.url + ": the connection ended before the response did",
+                   Verdict::kMayHaveRun);
+  }
+  return reply;
 }
 
 }  // namespace crocus
--- a/Tests/Gateway/faulty_replica_test.cc
+++ b/Tests/Gateway/faulty_replica_test.cc
@@ -297,6 +297,12 @@
        Chunk("error text\n\n") + "0\r\n\r\n"},
       {"a head in the body", Head("200 OK", id, kStreamFields),
        "HTTP/1.1 500 error text\r\nContent-Length: 0\r\n\r\n"},
+      {"a part of the status line", "HTTP/1.1 200", ""},
+      {"a status line", "HTTP/1.1 200 OK\r\n", ""},
+      {"a head without its end",
+       "HTTP/1.1 200 OK\r\n" + Field(platform::header::kAttemptId, id) +
+           kStreamFields + length(""),
+       ""},
   };
 }
 
--- a/Tests/PlatformStandin/scripted_server.cc
+++ b/Tests/PlatformStandin/scripted_server.cc
@@ -64,12 +64,17 @@
   boost::asio::async_read_until(
       connection->socket, boost::asio::dynamic_buffer(connection->input),
       "\r\n\r\n", [this, connection](const auto& error, std::size_t head) {
-        if (!error) {
-          const std::string length =
-              FieldOf(connection->input.substr(0, head), "Content-Length");
-          this->ReadBody(connection,
-                         head + std::strtoul(length.c_str(), nullptr, 10));
+        if (error) {
+          return;
+        }
+        if (this->answers_before_body) {
+          this->Respond(connection, head);
+          return;
         }
+        const std::string length =
+            FieldOf(connection->input.substr(0, head), "Content-Length");
+        this->ReadBody(connection,
+                       head + std::strtoul(length.c_str(), nullptr, 10));
       });
 }
 
@@ -110,15 +115,31 @@
           this->SendLate(connection, response);
           return;
         }
-        if (response->closes) {
-          boost::system::error_code ignored;
-          connection->socket.close(ignored);
+        if (response->closes || response->resets) {
+          this->End(connection, response->resets);
           return;
         }
         this->ReadHead(connection);
       });
 }
 
+void ScriptedServer::End(const std::shared_ptr<Connection>& connection,
+                         bool resets) {
+  boost::system::error_code ignored;
+  if (resets) {
+    connection->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                                  ignored);
+    connection->socket.close(ignored);
+    return;
+  }
+  // A close with unread bytes would be a reset.
+  connection->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                              ignored);
+  boost::asio::async_read(connection->socket,
+                          boost::asio::dynamic_buffer(connection->input),
+                          [connection](const auto&, std::size_t) {});
+}
+
 void ScriptedServer::SendLate(
     const std::shared_ptr<Connection>& connection,
     const std::shared_ptr<ScriptedResponse>& response) {
--- a/Tests/PlatformStandin/scripted_server.h
+++ b/Tests/PlatformStandin/scripted_server.h
@@ -30,6 +30,8 @@
   std::string late_bytes;
   Duration delay{};
   bool closes = false;
+  /// The connection is reset in place of being closed in order.
+  bool resets = false;
 };
 
 /// A faulty server that answers each request with any bytes. It reads the next
@@ -43,10 +45,17 @@
 
   std::uint16_t port() const;
 
+  /// Answers a request as soon as its head is there, and reads the rest of it
+  /// no more.
+  void set_answers_before_body(bool enabled) {
+    this->answers_before_body = enabled;
+  }
+
  private:
   struct Connection;
 
   void Accept();
+  void End(const std::shared_ptr<Connection>& connection, bool resets);
   void ReadHead(const std::shared_ptr<Connection>& connection);
   void ReadBody(const std::shared_ptr<Connection>& connection,
                 std::size_t request_bytes);
@@ -58,6 +67,7 @@
                 const std::shared_ptr<ScriptedResponse>& response);
 
   const Script script;
+  bool answers_before_body = false;
   boost::asio::ip::tcp::acceptor acceptor;
 };
 
