Refuse requests that an entry could not finish before it ends

What callers saw: in a planned stop of an entry, a request that came on a connection that was open when the listener closed was run whatever its timeout, and was cut off without an answer at the end of running_limit, also one that may run only once.

Cause: nothing compared the request's timeout with the time the process had left, and a request counted as in progress only once its body was whole. Change: once the listener has closed, a request that may outlast the process is refused with 503, not_run and Retry-After; the process waits for requests of which only the first line has come.

Before: LateRequestOfAShutdownIsRefused failed (no response to a first request and to the rest of a half-sent one).

--- a/Libraries/LibHttp/http_server.cc
+++ b/Libraries/LibHttp/http_server.cc
@@ -44,8 +44,8 @@
     this->sockets[peer] = socket;
   }
 
-  /// Records whether a request on the connection is being handled or its
-  /// response sent.
+  /// Records whether a request on the connection is being received or handled,
+  /// or its response sent.
   void SetBusy(const std::string& peer, bool is_busy) {
     std::lock_guard lock(this->mutex);
     if (is_busy) {
@@ -228,6 +228,17 @@
   return U_CALLBACK_COMPLETE;
 }
 
+/// Called when the first line of a request has arrived.
+void* OnRequestLine(void* user, const char* uri, MHD_Connection* connection) {
+  const auto* address =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (address != nullptr) {
+    static_cast<SocketTable*>(user)->SetBusy(
+        DescribeAddress(address->client_addr), true);
+  }
+  return ulfius_uri_logger(nullptr, uri);
+}
+
 void OnConnection(void* user,
                   MHD_Connection* connection,
                   void** context,
@@ -350,8 +361,8 @@
   MHD_OptionItem items[] = {
       {MHD_OPTION_NOTIFY_COMPLETED, reinterpret_cast<intptr_t>(OnCompleted),
        this->state->sockets.get()},
-      {MHD_OPTION_URI_LOG_CALLBACK,
-       reinterpret_cast<intptr_t>(ulfius_uri_logger), nullptr},
+      {MHD_OPTION_URI_LOG_CALLBACK, reinterpret_cast<intptr_t>(OnRequestLine),
+       this->state->sockets.get()},
       {MHD_OPTION_LISTEN_SOCKET, descriptor, nullptr},
       {MHD_OPTION_NOTIFY_CONNECTION, reinterpret_cast<intptr_t>(OnConnection),
        this->state->sockets.get()},
--- a/Libraries/LibHttp/http_server.h
+++ b/Libraries/LibHttp/http_server.h
@@ -50,9 +50,9 @@
   /// Closes the listening socket; open connections are still served.
   void StopAccepting();
 
-  /// Waits until no request is being handled and no response sent, and until
-  /// all connections are closed or a short time has passed without a request.
-  /// Returns false if this takes longer than `limit`.
+  /// Waits until no request is being received or handled and no response sent,
+  /// and until all connections are closed or a short time has passed without a
+  /// request. Returns false if this takes longer than `limit`.
   bool WaitUntilIdle(std::chrono::microseconds limit);
 
   /// Closes the listening socket and waits for running handlers. Responses that
--- a/Services/Entry/entry.cc
+++ b/Services/Entry/entry.cc
@@ -112,9 +112,12 @@
   step("finish_requests");
   this->server.StopAccepting();
   const TimePoint end = MonotonicNow() + limits.running_limit;
+  this->requests.SetProcessEnd(end);
   const bool is_idle =
       this->server.WaitUntilIdle(limits.running_limit) &&
       this->requests.WaitUntilIdle(std::max(Duration(0), end - MonotonicNow()));
+  // A request that arrives from now on could not be answered.
+  this->requests.SetProcessEnd(MonotonicNow());
   step(is_idle ? "flush_results" : "flush_results_with_running_requests");
   this->server.Stop();
   this->batches.Stop();
--- a/Services/Entry/online_requests.cc
+++ b/Services/Entry/online_requests.cc
@@ -18,6 +18,9 @@
 constexpr std::chrono::milliseconds kCallerPollInterval{100};
 
 constexpr std::chrono::milliseconds kIdlePollInterval{10};
+/// Time after which a caller should repeat a request that came too late for
+/// this process: another entry takes it at once.
+constexpr std::chrono::milliseconds kShutdownRetryAfter{1};
 
 /// Longest time that the lookup of a result waits for the replay.
 constexpr std::chrono::milliseconds kLookupTimeout{1000};
@@ -177,6 +180,10 @@
   this->log.Start();
 }
 
+void OnlineRequests::SetProcessEnd(TimePoint end) {
+  this->process_end = end;
+}
+
 bool OnlineRequests::WaitUntilIdle(Duration timeout) {
   const TimePoint deadline = MonotonicNow() + timeout;
   while (true) {
@@ -220,6 +227,16 @@
     }
   }
   const TimePoint now = MonotonicNow();
+  if (now + request->timeout > this->process_end.load()) {
+    LogEvent(Event::kRequestRefused,
+             {{"request", request->id},
+              {"reason", "shutdown"},
+              {"verdict", std::string(ToString(Verdict::kNotRun))}});
+    this->metrics.Count(Verdict::kNotRun, "shutdown");
+    return RefusalResponse({.code = "shutdown",
+                            .message = "this entry stops; another one serves",
+                            .retry_after = kShutdownRetryAfter});
+  }
   const auto [caller, is_new] = this->FindOrCreate(*request, now);
   RequestRun& run = caller->run();
   if (is_new) {
--- a/Services/Entry/online_requests.h
+++ b/Services/Entry/online_requests.h
@@ -1,6 +1,7 @@
 #ifndef ENTRY_ONLINE_REQUESTS_H_
 #define ENTRY_ONLINE_REQUESTS_H_
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -35,6 +36,9 @@
                  DaemonConnections& daemon_connections);
 
   void Start();
+  /// Sets when the process ends. From now on, requests that may last longer are
+  /// refused: passed on, they could be cut off.
+  void SetProcessEnd(TimePoint end);
   /// Waits until no request is running. Returns false if some are still running
   /// after `timeout`.
   bool WaitUntilIdle(Duration timeout);
@@ -102,6 +106,8 @@
   RequestMetrics metrics;
   RunServices services;
 
+  /// When the process ends; the greatest time while it does not stop.
+  std::atomic<TimePoint> process_end{TimePoint::max()};
   /// Guards what follows. Taken before the lock of a run.
   mutable std::mutex mutex;
   Admission admission;
--- a/Tests/Processes/online_requests_test.cc
+++ b/Tests/Processes/online_requests_test.cc
@@ -72,6 +72,22 @@
     this->Send("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: " +
                std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  /// What arrives until the connection is closed, reset or silent for that
+  /// long.
+  std::string Receive(std::chrono::seconds silence) {
+    const timeval timeout{.tv_sec = silence.count(), .tv_usec = 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof(timeout));
+    std::string received;
+    char buffer[4096];
+    for (;;) {
+      const ssize_t size = recv(this->descriptor, buffer, sizeof(buffer), 0);
+      if (size <= 0) {
+        return received;
+      }
+      received.append(buffer, size);
+    }
+  }
   void Close() {
     if (this->descriptor >= 0) {
       close(this->descriptor);
@@ -90,21 +106,21 @@
   std::string log;
   std::string engines[2];
   std::string entries[2];
+  std::vector<std::string> daemons;
 
   void setup() override {
     this->log = this->fleet.StartStandin("log", {"log"});
-    std::vector<std::string> daemons;
     for (int i = 0; i < 2; ++i) {
       const std::string number = std::to_string(i + 1);
       this->engines[i] = this->fleet.StartStandin(
           "engine-" + number, {"engine", "--token-us", "20000"});
-      daemons.push_back(
+      this->daemons.push_back(
           this->fleet.StartDaemon("daemon-" + number, {this->engines[i]}));
     }
     for (int i = 0; i < 2; ++i) {
-      this->entries[i] =
-          this->fleet.StartEntry("entry-" + std::to_string(i + 1), this->log,
-                                 daemons, "[shutdown]\nbalancer_delay = 700\n");
+      this->entries[i] = this->fleet.StartEntry(
+          "entry-" + std::to_string(i + 1), this->log, this->daemons,
+          "[shutdown]\nbalancer_delay = 700\n");
     }
     for (const auto& entry : this->entries) {
       CHECK(WaitUntil([&entry] {
@@ -382,6 +398,45 @@
                stored.value("text", "").c_str());
 }
 
+// Guards against requests that an entry takes late in its shutdown, passes on
+// to an engine and cuts off as it ends.
+TEST(OnlineRequests_TwoEntriesTwoDaemons, LateRequestOfAShutdownIsRefused) {
+  const std::string entry = this->fleet.StartEntry(
+      "entry-3", this->log, this->daemons,
+      "[shutdown]\nbalancer_delay = 300\nrunning_limit = 2500\n");
+  CHECK(WaitUntil(
+      [&entry] { return Call("GET", entry + "/readyz").status == 200; }));
+  const std::uint16_t port = this->fleet.Port("entry-3", "http");
+  // Both are open when the signal comes; the second one has sent a part of its
+  // request.
+  RawCaller kept(port);
+  RawCaller half_sent(port);
+  // 6 s, and the caller waits as long as the entry's default allows.
+  const std::string kept_body = Body("kept", 300);
+  const std::string half_body = Body("half", 300, kNonRepeatable);
+  half_sent.Send("POST /v1/requests HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                 std::to_string(half_body.size()) + "\r\n\r\n" +
+                 half_body.substr(0, 10));
+  auto long_request = std::async(std::launch::async, [&entry] {
+    return CallJson("POST", entry + "/v1/requests", Body("long", 100));
+  });
+  CHECK(WaitUntil([this] { return this->TotalRuns() == 1; }));
+  this->fleet.Signal("entry-3", SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1000));
+  kept.SendRequest(kept_body);
+  half_sent.Send(half_body.substr(10));
+  for (auto* caller : {&kept, &half_sent}) {
+    const std::string received = caller->Receive(std::chrono::seconds(4));
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    CHECK(received.find("not_run") != std::string::npos);
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+  }
+  STRCMP_EQUAL(ExpectedAnswer("long", 100).c_str(),
+               TextOf(long_request.get()).c_str());
+  CHECK_EQUAL(1, this->TotalRuns());
+  CHECK_EQUAL(0, this->fleet.WaitForExit("entry-3", std::chrono::seconds(10)));
+}
+
 // Guards against bodies that crash the entry, or that reach an engine although
 // they are incomplete or invalid.
 TEST(OnlineRequests_TwoEntriesTwoDaemons, InvalidBodiesAreRefusedAsNotRun) {
