Go on with a large body behind the last page that was read

What callers saw: none yet.

Change: the pages of a failed read are kept, 8 MB at most in all, and the next read goes on behind them.

--- a/Services/Gateway/batch_data_reader.cc
+++ b/Services/Gateway/batch_data_reader.cc
@@ -89,36 +89,38 @@
             return;
           }
         }
-        this->ReadFromNewest(place, key_prefix, on_done, key_prefix,
-                             std::make_shared<std::vector<KeyedRecord>>());
+        auto read =
+            std::make_shared<NewestRead>(NewestRead{.after_key = key_prefix});
+        if (auto partial = this->partial_reads.extract(key_prefix)) {
+          *read = std::move(partial.mapped());
+        }
+        this->ReadFromNewest(place, key_prefix, on_done, std::move(read));
       });
 }
 
-void BatchDataReader::ReadFromNewest(
-    const records::DataPlace& place,
-    const std::string& key_prefix,
-    Callback on_done,
-    const std::string& after_key,
-    std::shared_ptr<std::vector<KeyedRecord>> earlier) {
+void BatchDataReader::ReadFromNewest(const records::DataPlace& place,
+                                     const std::string& key_prefix,
+                                     Callback on_done,
+                                     std::shared_ptr<NewestRead> read) {
   this->store.ReadNewest(
-      {.topic = this->options.topic, .partition = place.partition}, after_key,
-      kNewestTimeout,
-      [this, place, key_prefix, on_done = std::move(on_done),
-       earlier = std::move(earlier)](auto page) {
+      {.topic = this->options.topic, .partition = place.partition},
+      read->after_key, kNewestTimeout,
+      [this, place, key_prefix, on_done = std::move(on_done), read](auto page) {
         if (!page) {
+          this->KeepPartialRead(key_prefix, *read);
           on_done(tl::unexpected(page.error()));
           return;
         }
         std::move(page->records.begin(), page->records.end(),
-                  std::back_inserter(*earlier));
-        if (auto joined = JoinParts(*earlier, place, key_prefix)) {
+                  std::back_inserter(read->records));
+        read->after_key = page->last_key;
+        if (auto joined = JoinParts(read->records, place, key_prefix)) {
           this->AddToCache(key_prefix, *joined);
           on_done(std::move(*joined));
           return;
         }
         if (page->has_more && page->last_key.starts_with(key_prefix)) {
-          this->ReadFromNewest(place, key_prefix, on_done, page->last_key,
-                               earlier);
+          this->ReadFromNewest(place, key_prefix, on_done, read);
           return;
         }
         on_done(Failure(ErrorCode::kNotFound,
@@ -126,6 +128,27 @@
       });
 }
 
+std::size_t BatchDataReader::NewestRead::bytes() const {
+  std::size_t sum = 0;
+  for (const auto& record : this->records) {
+    sum += record.value ? record.value->size() : 0;
+  }
+  return sum;
+}
+
+void BatchDataReader::KeepPartialRead(const std::string& key_prefix,
+                                      const NewestRead& read) {
+  std::size_t kept = read.bytes();
+  if (kept == 0 || kept > this->options.partial_bytes) {
+    return;
+  }
+  std::erase_if(this->partial_reads, [this, &kept](const auto& entry) {
+    kept += entry.second.bytes();
+    return kept > this->options.partial_bytes;
+  });
+  this->partial_reads[key_prefix] = read;
+}
+
 void BatchDataReader::AddToCache(const std::string& key_prefix,
                                  const std::string& bytes) {
   if (bytes.size() > this->options.cache_bytes ||
--- a/Services/Gateway/batch_data_reader.h
+++ b/Services/Gateway/batch_data_reader.h
@@ -21,10 +21,13 @@
   std::string topic;
   /// Size of the bodies and texts that are kept to be read again.
   std::size_t cache_bytes = 2u << 20;
+  /// Size of the parts that are kept of reads that failed between two pages.
+  std::size_t partial_bytes = 8u << 20;
 };
 
 /// Reads the bodies and texts of batch items from the store when they are
-/// needed. A gateway keeps only those that were read last.
+/// needed. A gateway keeps only those that were read last, and the pages of
+/// reads that failed, so that the next read goes on behind them.
 class BatchDataReader {
  public:
   using Callback = std::function<void(Result<std::string>)>;
@@ -47,17 +50,27 @@
     std::string bytes;
   };
 
+  /// Newest records that were read, and the key after which the next page
+  /// begins.
+  struct NewestRead {
+    std::vector<KeyedRecord> records;
+    std::string after_key;
+
+    std::size_t bytes() const;
+  };
+
   void ReadFromLog(const records::DataPlace& place,
                    const std::string& key_prefix,
                    Callback on_done);
-  /// Reads the newest records of the keys after `after_key`, page by page. The
-  /// log of a partition is deleted after a while, the newest record of each key
-  /// is not. `earlier` has the records of the pages before.
+  /// Reads the newest records page by page. The log of a partition is deleted
+  /// after a while, the newest record of each key is not. `read` has what was
+  /// read before.
   void ReadFromNewest(const records::DataPlace& place,
                       const std::string& key_prefix,
                       Callback on_done,
-                      const std::string& after_key,
-                      std::shared_ptr<std::vector<KeyedRecord>> earlier);
+                      std::shared_ptr<NewestRead> read);
+  /// Keeps what was read before a page failed.
+  void KeepPartialRead(const std::string& key_prefix, const NewestRead& read);
   void AddToCache(const std::string& key_prefix, const std::string& bytes);
 
   boost::asio::io_context& loop;
@@ -67,6 +80,8 @@
   std::list<CacheEntry> cache;
   std::map<std::string, std::list<CacheEntry>::iterator> cache_index;
   std::size_t cached_bytes = 0;
+  /// Failed reads by the prefix of their keys.
+  std::map<std::string, NewestRead> partial_reads;
 };
 
 }  // namespace crocus
--- a/Tests/Gateway/batch_test.cc
+++ b/Tests/Gateway/batch_test.cc
@@ -168,6 +168,53 @@
   CHECK_TRUE(this->WaitForResults("large", 1, std::chrono::seconds(8)));
 }
 
+// Guards against a large body that is never read because one page in two fails:
+// the pages that were read before are not read again.
+TEST(GatewayBatch_OneGateway, LargeBodyIsReadFromAStoreWithFailingPages) {
+  const std::string body(4'000'000, 'A');
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "large", {"large-i"},
+                                                {.body = body})));
+  this->fleet.store.CompactAll("keyed.crocus");
+  this->fleet.store.set_faults({.flaky_newest_topics = "keyed.crocus.data"});
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_TRUE(this->WaitForResults("large", 1, std::chrono::seconds(12)));
+}
+
+// Guards against a large body that is never read because each page of it takes
+// long.
+TEST(GatewayBatch_OneGateway, LargeBodyIsReadFromASlowStore) {
+  const std::string body(4'000'000, 'A');
+  this->fleet.StartGateway("a");
+  CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", "large", {"large-i"},
+                                                {.body = body})));
+  this->fleet.store.CompactAll("keyed.crocus");
+  this->fleet.store.set_faults({.delay = std::chrono::milliseconds(600)});
+  this->fleet.AddReplica("model", {.id = "i-1"});
+  CHECK_TRUE(this->WaitForResults("large", 1, std::chrono::seconds(18)));
+}
+
+// Guards against a large body that only the host can read which accepted it.
+TEST(GatewayBatch_TwoGateways, LargeBodyIsReadByAnotherOwner) {
+  const std::string body(3'200'000, 'A');
+  for (const std::string replica : {"i-1", "i-2"}) {
+    this->fleet.UnregisterReplica(replica);
+  }
+  this->fleet.RunFor(std::chrono::milliseconds(700));
+  for (int i = 0; i < 4; ++i) {
+    const std::string job = "large" + std::to_string(i);
+    CHECK_EQUAL(202U, StatusOf(this->fleet.Submit("a", job, {job + "-i"},
+                                                  {.body = body})));
+  }
+  this->fleet.store.CompactAll("keyed.crocus");
+  this->fleet.processes.Signal("a", SIGKILL);
+  this->fleet.RegisterReplica("i-1", "model", this->fleet.replicas[0]->port(),
+                              "ready");
+  for (int i = 0; i < 4; ++i) {
+    CHECK_TRUE(this->WaitForResults("b", "large" + std::to_string(i), 1));
+  }
+}
+
 // Guards against items that are never listed because a configuration has
 // dropped their route. Those that run are finished.
 TEST(GatewayBatch_OneGateway, ItemsOfADroppedRouteAreAbandoned) {
--- a/Tests/PlatformStandin/store_standin.cc
+++ b/Tests/PlatformStandin/store_standin.cc
@@ -313,6 +313,12 @@
 
 void StoreStandin::ReadNewest(const std::shared_ptr<ServerSession>& session,
                               const Request& request) {
+  const std::string& flaky = this->faults.flaky_newest_topics;
+  if (!flaky.empty() && PartitionName(request).starts_with(flaky) &&
+      ++this->flaky_reads % 2 == 0) {
+    session->Respond(503, {}, "");
+    return;
+  }
   const Topic& topic = this->topics[PartitionName(request)];
   const std::string after = PercentDecoded(request.head.QueryValue("after"));
   ++this->page_counts[PartitionName(request)];
--- a/Tests/PlatformStandin/store_standin.h
+++ b/Tests/PlatformStandin/store_standin.h
@@ -29,6 +29,9 @@
   Duration delay{};
   /// Reads of this topic's log get no response; those of its newest records do.
   std::string blocked_topic;
+  /// Every second read of the newest records of the topics with this prefix
+  /// gets status 503; none if it is empty.
+  std::string flaky_newest_topics;
   /// Calls to join a group get status 503, so that the caller is assigned no
   /// partitions.
   bool rejects_joins = false;
@@ -118,6 +121,7 @@
   std::list<WaitingRead> waiting_reads;
   std::uint64_t append_count = 0;
   std::map<std::string, std::uint64_t> page_counts;
+  std::uint64_t flaky_reads = 0;
   std::uint64_t read_bytes = 0;
 };
 
