Let slow callers pause for ten seconds without losing their streams

Cause: the limit on unacknowledged bytes, 2 s, also ends a connection whose peer is there and does not read. Change: 10 s towards callers; towards replicas and the store it stays at 2 s.

--- a/Libraries/LibAsyncHttp/http_listener.cc
+++ b/Libraries/LibAsyncHttp/http_listener.cc
@@ -13,6 +13,9 @@
 /// Delay after a failed accept, for example if no file descriptor is free.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr int kBacklog = 1024;
+/// How long a caller may read nothing. Slow readers with small buffers pause
+/// for longer than an unreachable peer takes to be noticed.
+constexpr Duration kSlowCallerLimit = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -73,7 +76,7 @@
 }
 
 void HttpListener::StartSession(boost::asio::ip::tcp::socket socket) {
-  SetSocketOptions(socket);
+  SetSocketOptions(socket, {.unacknowledged_limit = kSlowCallerLimit});
   const auto session =
       std::make_shared<ServerSession>(std::move(socket), this->session_options);
   this->sessions[session.get()] = session;
--- a/Libraries/LibAsyncHttp/socket_options.cc
+++ b/Libraries/LibAsyncHttp/socket_options.cc
@@ -8,21 +8,20 @@
 
 namespace {
 
-/// A reachable peer acknowledges within a round trip; this covers several lost
-/// packets between regions.
-constexpr int kUnacknowledgedLimitMilliseconds = 2000;
-
 using UserTimeout =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 }  // namespace
 
-void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket,
+                      const SocketOptions& options) {
   // A socket that has just been reset rejects options; its next read reports
   // the reset.
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  socket.set_option(UserTimeout(kUnacknowledgedLimitMilliseconds), ignored);
+  socket.set_option(UserTimeout(static_cast<int>(options.unacknowledged_limit /
+                                                 std::chrono::milliseconds(1))),
+                    ignored);
 }
 
 }  // namespace crocus
