Keep the place of items that have brought output, and their run time

Suspected: an item whose run was broken by the network came behind items that had not run, with the output that it had, and the time of stopped runs no longer counted, so that late items were expected to be in time.

Change: only an item that is expected to fail is put behind others if it has brought output; all run times count but those of items at fault.

The replicas that are gone are forgotten as well.

--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -115,6 +115,10 @@
           continue;
         }
         belief = failures.BeliefOf(item.Hash());
+        if (found->second.events > 0 && !belief.is_failing) {
+          // What it has brought is lost if it comes too late.
+          belief = {};
+        }
       }
       if (filter.only_with_body && !this->HasBody(job_table, item)) {
         continue;
--- a/Libraries/LibServing/failure_attribution.cc
+++ b/Libraries/LibServing/failure_attribution.cc
@@ -206,6 +206,8 @@
     const std::string& name,
     const Replica& replica) const {
   // Another replica that fails does not excuse this one, unless all others do.
+  // FIXME: Keep the replicas by endpoint. While most replicas of a large fleet
+  // fail, each placement compares all of them with each other.
   double sum = 0;
   std::uint32_t count = 0;
   double failing_sum = 0;
--- a/Libraries/LibServing/failure_attribution.h
+++ b/Libraries/LibServing/failure_attribution.h
@@ -114,7 +114,7 @@
   void OnSuccess(const WorkRun& run, TimePoint now);
   /// The work has ended, however that may be.
   void Forget(WorkId work) { this->works.erase(work); }
-  /// The replica has started again, or its state has changed.
+  /// The replica has started again, has changed its state or is gone.
   void ResetReplica(const std::string& replica);
 
   WorkBelief BeliefOf(WorkId work) const;
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -499,7 +499,8 @@
   this->queue.SetRunning(item, false);
   auto& progress = this->queue.Progress(item);
   const TimePoint now = BootTimeNow();
-  if (run.events > 0) {
+  // The time of items that fail for their own sake says nothing about others.
+  if (end.cause != FailureCause::kWork) {
     progress.run_time += now - run.attempt->started();
   }
   const bool is_complete =
@@ -554,14 +555,11 @@
     return;
   }
   const auto attempt = found->second.attempt;
-  const bool has_events = found->second.events > 0;
   this->runs.erase(found);
   this->queue.SetRunning(item, false);
   auto& progress = this->queue.Progress(item);
   progress.not_before = BootTimeNow() + kStoppedBackoff;
-  if (has_events) {
-    progress.run_time += BootTimeNow() - attempt->started();
-  }
+  progress.run_time += BootTimeNow() - attempt->started();
   const BatchJobEntry* job = this->job_table.Find(item.job);
   LogEvent(Event::kBatchItemStopped,
            {{"request", job == nullptr ? "" : job->items[item.item].spec.id},
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -276,6 +276,7 @@
                                         {"reason", "registry"}});
     }
     this->directory.Remove(record.key, now);
+    this->failures.ResetReplica(record.key);
     this->pool.CloseIdle(record.key);
     return;
   }
