--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -116,9 +116,19 @@
     const Run& run = this->runs.at(item);
     const bool has_progress = run.events > 0;
     this->queue.Progress(item).avoided.insert(run.attempt->replica());
-    run.attempt->OnFailure(FailureKind::kBroken);
+    const std::string replica = run.attempt->replica();
+    const ReplicaRecord* record = this->context.directory.Find(replica);
+    // With more requests than slots, the item may have been waiting for one.
+    const bool had_slot =
+        record != nullptr &&
+        this->context.loads.Total(replica).total() <= record->slots;
+    if (had_slot) {
+      run.attempt->OnFailure(FailureKind::kUnusable);
+    }
     this->StopRun(item, "no event received");
-    this->DelayFailedItem(item, has_progress);
+    if (had_slot) {
+      this->DelayFailedItem(item, has_progress);
+    }
   }
   this->queue.Prune(this->job_table);
   this->AbandonItems();
@@ -531,7 +541,7 @@
   if (end.verdict == Verdict::kNotRun) {
     progress.not_before = now + kRefusedBackoff;
   } else {
-    this->DelayFailedItem(item, run.events > 0 && run.is_in_order);
+    this->DelayFailedItem(item, run.events > 0);
   }
   progress.avoided.insert(run.attempt->replica());
   if (is_complete && run.status == http_status::kUnprocessable) {
