Read all pages of results in the test of items whose head is cut off

ListsTheWholeTextOfALaterRun waited for 40 results on one page of results, and a page has 24 at most: it could not pass.

The test reads all pages and checks each of the 40 items by its id.

--- a/Tests/Gateway/failing_items_test.cc
+++ b/Tests/Gateway/failing_items_test.cc
@@ -192,10 +192,8 @@
                       [](const auto& id) { return !id.starts_with("bad"); });
     return this->fleet.RunUntil(
         [&, this] {
-          const auto page =
-              this->fleet.ReadResults("b", job, this->positions[job]);
           for (const auto& result :
-               page.is_null() ? nlohmann::json::array() : page["results"]) {
+               this->fleet.ReadAllResults("b", job, this->positions[job])) {
             ++this->positions[job];
             if (result["state"] == "completed") {
               STRCMP_EQUAL("d0\nd1", result["text"].get<std::string>().c_str());
--- a/Tests/Gateway/truncated_head_test.cc
+++ b/Tests/Gateway/truncated_head_test.cc
@@ -223,14 +223,19 @@
     }
   }
   CHECK_EQUAL(202U, this->fleet.Submit("a", "job", items)->head.status);
-  nlohmann::json page;
+  std::map<std::string, nlohmann::json> listed;
   CHECK(this->fleet.RunUntil(
       [&, this] {
-        page = this->fleet.ReadResults("a", "job");
-        return !page.is_null() && page["results"].size() == items.size();
+        for (auto& result :
+             this->fleet.ReadAllResults("a", "job", listed.size())) {
+          const std::string id = result["id"];
+          CHECK(listed.emplace(id, std::move(result)).second);
+        }
+        return listed.size() == items.size();
       },
       std::chrono::seconds(18)));
-  for (const auto& result : page["results"]) {
+  for (const auto& id : items) {
+    const auto& result = listed.at(id);
     STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
     STRCMP_EQUAL("d0\nd1", result["text"].get<std::string>().c_str());
   }
--- a/Tests/PlatformStandin/gateway_fleet.cc
+++ b/Tests/PlatformStandin/gateway_fleet.cc
@@ -233,6 +233,20 @@
   return reply && reply->head.status == 200 ? json::parse(reply->body) : json();
 }
 
+std::vector<json> GatewayFleet::ReadAllResults(const std::string& gateway,
+                                               const std::string& job,
+                                               std::uint64_t after) {
+  std::vector<json> results;
+  for (;;) {
+    const json page = this->ReadResults(gateway, job, after + results.size());
+    if (page.is_null() || page["results"].empty()) {
+      return results;
+    }
+    results.insert(results.end(), page["results"].begin(),
+                   page["results"].end());
+  }
+}
+
 bool GatewayFleet::RunUntil(const std::function<bool()>& condition,
                             Duration timeout) {
   const TimePoint end = BootTimeNow() + timeout;
--- a/Tests/PlatformStandin/gateway_fleet.h
+++ b/Tests/PlatformStandin/gateway_fleet.h
@@ -94,6 +94,11 @@
   nlohmann::json ReadResults(const std::string& gateway,
                              const std::string& job,
                              std::uint64_t after = 0);
+  /// All results of a job behind position `after`, over as many pages as there
+  /// are.
+  std::vector<nlohmann::json> ReadAllResults(const std::string& gateway,
+                                             const std::string& job,
+                                             std::uint64_t after = 0);
 
   /// Runs the event loop until the condition is true; returns false if it is
   /// still false after the timeout.
