Keep one copy of two batch decisions, and tidy the attribution of failures

The choice of a replica for an item stood in the runner and in the simulation, and the choice of a run to preempt partly in the runner: both are decisions of LibServing now, with tests. Replicas are compared within their endpoint, not with all of the fleet. Work that nobody mentions again expires, so that crocus_failing_works does not count it. A failed read of a body no longer drops more of the kept pages than it has to.

--- a/Libraries/LibServing/batch_queue.cc
+++ b/Libraries/LibServing/batch_queue.cc
@@ -28,6 +28,22 @@
                                                                 : nullptr;
 }
 
+std::optional<PlacementChoice> ChooseReplica(const Placement& placement,
+                                             ItemProgress& progress,
+                                             BatchPlacement batch,
+                                             TimePoint now) {
+  if (progress.avoided.empty()) {
+    return placement.ChooseBatch(batch, now);
+  }
+  BatchPlacement elsewhere = batch;
+  elsewhere.excluded.insert(progress.avoided.begin(), progress.avoided.end());
+  if (auto choice = placement.ChooseBatch(elsewhere, now)) {
+    return choice;
+  }
+  progress.avoided.clear();
+  return placement.ChooseBatch(batch, now);
+}
+
 std::string EndpointOfJob(const Route& route, const std::string& job) {
   return PickEndpoint(route, HashPoint(job));
 }
@@ -142,21 +158,43 @@
   return best;
 }
 
-std::optional<ItemReference> BatchQueue::LateRunAt(
+std::vector<ItemReference> BatchQueue::RunsAt(
+    const std::string& endpoint,
+    const BatchJobTable& job_table,
+    const RoutingConfig& config) const {
+  std::vector<ItemReference> items;
+  for (const auto& item : this->running) {
+    const BatchJobEntry* job = job_table.Find(item.job);
+    const Route* route =
+        job == nullptr ? nullptr : RouteOfJob(config, job->record);
+    if (route != nullptr && EndpointOfJob(*route, item.job) == endpoint) {
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+std::optional<ItemReference> BatchQueue::RunToPreempt(
     const std::string& endpoint,
     const BatchJobTable& job_table,
     const RoutingConfig& config,
+    const FailureAttribution& failures,
     std::int64_t unix_milliseconds) const {
-  const auto found = std::find_if(
-      this->running.begin(), this->running.end(), [&](const auto& item) {
-        const BatchJobEntry* job = job_table.Find(item.job);
-        const Route* route =
-            job == nullptr ? nullptr : RouteOfJob(config, job->record);
-        return route != nullptr &&
-               EndpointOfJob(*route, item.job) == endpoint &&
-               this->IsLate(job_table, config, item, unix_milliseconds);
+  const auto items = this->RunsAt(endpoint, job_table, config);
+  auto found =
+      std::find_if(items.begin(), items.end(), [&](const ItemReference& item) {
+        return this->IsLate(job_table, config, item, unix_milliseconds);
       });
-  return found == this->running.end() ? std::nullopt : std::optional(*found);
+  if (found == items.end()) {
+    found = std::find_if(
+        items.begin(), items.end(), [&](const ItemReference& item) {
+          const auto progress = this->progress.find(item);
+          return progress != this->progress.end() &&
+                 progress->second.events == progress->second.events_at_start &&
+                 failures.BeliefOf(item.Hash()).is_failing;
+        });
+  }
+  return found == items.end() ? std::nullopt : std::optional(*found);
 }
 
 bool BatchQueue::HasBody(const BatchJobTable& job_table,
--- a/Libraries/LibServing/batch_queue.h
+++ b/Libraries/LibServing/batch_queue.h
@@ -15,6 +15,7 @@
 #include "LibServing/dropped_routes.h"
 #include "LibServing/failure_attribution.h"
 #include "LibServing/peer_items.h"
+#include "LibServing/placement.h"
 #include "LibServing/routing_config.h"
 
 namespace crocus {
@@ -25,6 +26,8 @@
   std::string text;
   std::optional<std::uint64_t> last_event;
   std::uint64_t events = 0;
+  /// Events at the start of the last run.
+  std::uint64_t events_at_start = 0;
   /// Keys of the records that this host has appended for failed runs.
   std::set<std::string> failures;
   std::uint32_t attempts = 0;
@@ -107,10 +110,10 @@
   /// first. Items that are expected to miss their due time come after the
   /// others: with more work than slots, running the oldest items first would
   /// make every job late. Items that have failed come after those that have
-  /// not, and items that are expected to fail come last. Skips
-  /// items that run on this or another host, have their final state or wait
-  /// after a failure, and those that `filter` leaves out: an item that cannot
-  /// start must not hold back others that can.
+  /// not, and items that are expected to fail come last. Skips items that run
+  /// on this or another host, have their final state or wait after a failure,
+  /// and those that `filter` leaves out: an item that cannot start must not
+  /// hold back others that can.
   std::optional<NextItem> Next(const BatchJobTable& job_table,
                                const RoutingConfig& config,
                                const PeerItems& peers,
@@ -119,12 +122,16 @@
                                std::int64_t unix_milliseconds,
                                const ItemFilter& filter = {}) const;
 
-  /// A running item at the endpoint that is expected to be late; none if there
-  /// is no such item.
-  std::optional<ItemReference> LateRunAt(const std::string& endpoint,
-                                         const BatchJobTable& job_table,
-                                         const RoutingConfig& config,
-                                         std::int64_t unix_milliseconds) const;
+  /// The running item at the endpoint that gives its slot to a sound item which
+  /// can be done in time: one that is expected to be late, else one that is
+  /// expected to fail and whose run has brought no event. None if there is no
+  /// such item.
+  std::optional<ItemReference> RunToPreempt(
+      const std::string& endpoint,
+      const BatchJobTable& job_table,
+      const RoutingConfig& config,
+      const FailureAttribution& failures,
+      std::int64_t unix_milliseconds) const;
 
   /// True if the item's body is at hand.
   bool HasBody(const BatchJobTable& job_table, const ItemReference& item) const;
@@ -166,6 +173,10 @@
   void Prune(const BatchJobTable& job_table);
 
  private:
+  /// The running items at the endpoint.
+  std::vector<ItemReference> RunsAt(const std::string& endpoint,
+                                    const BatchJobTable& job_table,
+                                    const RoutingConfig& config) const;
   /// When a job's items must be done so that their results can be read in time,
   /// in ms since the Unix epoch.
   static std::int64_t DueTime(const Route& route, const BatchJobEntry& job);
@@ -186,6 +197,13 @@
 const Route* RouteOfJob(const RoutingConfig& config,
                         const records::BatchJobAccepted& job);
 
+/// Chooses a replica for an item, none of those that its progress says to avoid
+/// unless no other has a slot. Then it avoids none any more.
+std::optional<PlacementChoice> ChooseReplica(const Placement& placement,
+                                             ItemProgress& progress,
+                                             BatchPlacement batch,
+                                             TimePoint now);
+
 /// The endpoint that runs a job's items. It is the same for all of them as long
 /// as the route's weights do not change.
 std::string EndpointOfJob(const Route& route, const std::string& job);
--- a/Libraries/LibServing/failure_attribution.cc
+++ b/Libraries/LibServing/failure_attribution.cc
@@ -24,8 +24,7 @@
   if (kind == FailureKind::kUnreachable) {
     // It has ended, and so have the runs that failed shortly before.
     this->ResetFailures(run.replica);
-    Replica& replica = this->replicas[run.replica];
-    replica.endpoint = run.endpoint;
+    Replica& replica = this->ReplicaOf(run);
     replica.is_unreachable = true;
     this->StartBackoff(replica, now);
     return FailureCause::kReplica;
@@ -57,8 +56,7 @@
 bool FailureAttribution::AddFailure(const WorkRun& run,
                                     FailureKind kind,
                                     TimePoint now) {
-  Replica& replica = this->replicas[run.replica];
-  replica.endpoint = run.endpoint;
+  Replica& replica = this->ReplicaOf(run);
   const bool is_new = !replica.failures.contains(run.work);
   RemoveFailure(replica, run.work);
   if (replica.failures.size() < this->options.maximum_failures) {
@@ -66,7 +64,7 @@
     replica.broken += kind == FailureKind::kBroken ? 1 : 0;
   }
   if (kind != FailureKind::kBroken) {
-    return this->IsFailing(run.replica, replica);
+    return false;
   }
   if (is_new) {
     replica.failed_share +=
@@ -80,8 +78,7 @@
 }
 
 void FailureAttribution::OnSuccess(const WorkRun& run, TimePoint now) {
-  Replica& replica = this->replicas[run.replica];
-  replica.endpoint = run.endpoint;
+  Replica& replica = this->ReplicaOf(run);
   replica.failed_share -= this->options.share_weight * replica.failed_share;
   replica.is_unreachable = false;
   replica.backoff = {};
@@ -116,7 +113,21 @@
 
 void FailureAttribution::ResetReplica(const std::string& name) {
   this->ResetFailures(name);
-  this->replicas.erase(name);
+  if (const auto found = this->replicas.find(name);
+      found != this->replicas.end()) {
+    this->endpoints[found->second.endpoint].erase(name);
+    this->replicas.erase(found);
+  }
+}
+
+FailureAttribution::Replica& FailureAttribution::ReplicaOf(const WorkRun& run) {
+  Replica& replica = this->replicas[run.replica];
+  if (replica.endpoint != run.endpoint) {
+    this->endpoints[replica.endpoint].erase(run.replica);
+    replica.endpoint = run.endpoint;
+  }
+  this->endpoints[run.endpoint].insert(run.replica);
+  return replica;
 }
 
 void FailureAttribution::ResetFailures(const std::string& name) {
@@ -206,17 +217,16 @@
     const std::string& name,
     const Replica& replica) const {
   // Another replica that fails does not excuse this one, unless all others do.
-  // FIXME: Keep the replicas by endpoint. While most replicas of a large fleet
-  // fail, each placement compares all of them with each other.
   double sum = 0;
   std::uint32_t count = 0;
   double failing_sum = 0;
   std::uint32_t failing_count = 0;
   const std::uint32_t minimum = this->options.failures_before_backoff;
-  for (const auto& [other_name, other] : this->replicas) {
-    if (other_name == name || other.endpoint != replica.endpoint) {
+  for (const auto& other_name : this->endpoints.at(replica.endpoint)) {
+    if (other_name == name) {
       continue;
     }
+    const Replica& other = this->replicas.at(other_name);
     const bool is_failing = other.broken >= minimum;
     (is_failing ? failing_sum : sum) += other.failed_share;
     ++(is_failing ? failing_count : count);
@@ -271,10 +281,14 @@
       std::max(work.failures + 1, this->options.failures_of_failing_work);
 }
 
-void FailureAttribution::DropOldestWork(TimePoint now) {
+void FailureAttribution::Expire(TimePoint now) {
   std::erase_if(this->works, [this, now](const auto& entry) {
     return now - entry.second.last_failure > this->options.work_lifetime;
   });
+}
+
+void FailureAttribution::DropOldestWork(TimePoint now) {
+  this->Expire(now);
   if (this->works.size() < this->options.maximum_works) {
     return;
   }
--- a/Libraries/LibServing/failure_attribution.h
+++ b/Libraries/LibServing/failure_attribution.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -97,25 +98,29 @@
 /// it, requests that fail for their own sake put replicas in backoff for all
 /// work, and use up the trials that would end the backoff.
 ///
-/// A failure is open at first. It is attributed to the work once the replica
-/// has served other work after it, and then all failures of the work are, or
-/// once the work has failed at another replica too and at one of the two
-/// nothing else has. It is attributed to the
-/// replica once another one has served the work. Failures of different work in
-/// a row that are not attributed to the work count against the replica, unless
-/// as many are likely at the other replicas of the endpoint. Work that is
-/// expected to fail counts against no replica. Not thread-safe.
+/// A failure is open at first. It is attributed to the work, and with it all
+/// earlier failures of the work, once the replica has served other work after
+/// it, or once the work has failed at another replica too and at one of the two
+/// nothing else has. It is attributed to the replica once another one has
+/// served the work. Failures of different work in a row that are not attributed
+/// to the work count against the replica, unless as many are likely at the
+/// other replicas of the endpoint. Work that is expected to fail counts against
+/// no replica. Not thread-safe.
 class FailureAttribution {
  public:
   explicit FailureAttribution(FailureAttributionOptions options = {})
       : options(options) {}
 
+  /// A run has failed. Returns what that is attributed to by now; a later
+  /// success may show otherwise.
   FailureCause OnFailure(const WorkRun& run, FailureKind kind, TimePoint now);
   void OnSuccess(const WorkRun& run, TimePoint now);
   /// The work has ended, however that may be.
   void Forget(WorkId work) { this->works.erase(work); }
   /// The replica has started again, has changed its state or is gone.
   void ResetReplica(const std::string& replica);
+  /// Drops work that has not failed for a while. Must be called regularly.
+  void Expire(TimePoint now);
 
   WorkBelief BeliefOf(WorkId work) const;
   /// Time before the work may run again after a failure.
@@ -132,6 +137,7 @@
 
  private:
   struct Work {
+    /// Failures that are attributed to the work, and all failed runs.
     std::uint32_t failures = 0;
     std::uint32_t failed_runs = 0;
     /// Replicas at which it has failed, and when it did last.
@@ -153,6 +159,8 @@
     TimePoint last_success{};
   };
 
+  /// The replica of the run; creates it if there is none.
+  Replica& ReplicaOf(const WorkRun& run);
   /// Drops the failures at the replica, which say nothing about their work.
   void ResetFailures(const std::string& replica);
   void StartBackoff(Replica& replica, TimePoint now) const;
@@ -169,12 +177,14 @@
   static void RemoveFailure(Replica& replica, WorkId work);
   /// Attributes all failures of the work to it.
   void BlameWork(WorkId id, Work& work);
-  /// Drops the piece of work that has failed least recently.
+  /// Makes room for one more piece of work.
   void DropOldestWork(TimePoint now);
 
   const FailureAttributionOptions options;
   std::map<WorkId, Work> works;
   std::map<std::string, Replica> replicas;
+  /// Names of the replicas of each endpoint.
+  std::map<std::string, std::set<std::string>> endpoints;
 };
 
 }  // namespace crocus
--- a/Libraries/LibServing/placement.cc
+++ b/Libraries/LibServing/placement.cc
@@ -152,16 +152,14 @@
 }
 
 std::optional<PlacementChoice> Placement::ChooseBatch(
-    const std::string& endpoint,
-    const std::set<std::string>& excluded,
-    TimePoint now,
-    std::uint32_t extra_reserve,
-    WorkId work) const {
+    const BatchPlacement& batch,
+    TimePoint now) const {
   const std::uint32_t full_reserve =
-      this->options.batch_reserve + extra_reserve;
+      this->options.batch_reserve + batch.extra_reserve;
   std::optional<PlacementChoice> best;
   double best_cost = 0;
-  for (const auto* replica : this->Candidates(endpoint, excluded, now, work)) {
+  for (const auto* replica :
+       this->Candidates(batch.endpoint, batch.excluded, now, batch.work)) {
     const OutstandingRequests load = this->loads.Total(replica->id);
     // An idle replica takes batch work however few slots it has. Otherwise that
     // work would never be done.
--- a/Libraries/LibServing/placement.h
+++ b/Libraries/LibServing/placement.h
@@ -40,6 +40,16 @@
   Duration expected_wait{};
 };
 
+/// A batch item that needs a replica.
+struct BatchPlacement {
+  std::string endpoint;
+  std::set<std::string> excluded;
+  /// Slots left free in addition to the reserve for online requests.
+  std::uint32_t extra_reserve = 0;
+  /// The item over all of its runs; 0 for work that has not failed.
+  WorkId work = 0;
+};
+
 /// Chooses replicas for requests. Not thread-safe.
 class Placement {
  public:
@@ -53,26 +63,21 @@
   /// that are expected to start it early, network cost included. The draw
   /// keeps hosts with the same reports from all choosing the same replica. None
   /// if all available replicas are in `tried`. Work that has failed is not used
-  /// for the trial of a replica.
+  /// for the trial of a replica; `work` is 0 for work that has not.
   std::optional<PlacementChoice> ChooseOnline(
       const std::string& endpoint,
       const std::set<std::string>& tried,
       TimePoint now,
       WorkId work = 0);
 
-  /// Chooses a replica that is not in `excluded` and has a slot for batch work,
-  /// with `extra_reserve` slots left free in addition to the reserve for online
-  /// requests; none if there is no such replica. An idle replica always has a
-  /// slot, even if the reserves are larger than it. Hosts prefer different
-  /// replicas: with the same preference, all of them would fill the emptiest
-  /// replica before they receive each other's reports. If work fails at all
-  /// replicas, none of them is left out but those that can't be reached.
-  std::optional<PlacementChoice> ChooseBatch(
-      const std::string& endpoint,
-      const std::set<std::string>& excluded,
-      TimePoint now,
-      std::uint32_t extra_reserve = 0,
-      WorkId work = 0) const;
+  /// Chooses a replica that is not excluded and has a slot for batch work
+  /// beside the reserves; none if there is no such replica. An idle replica
+  /// always has a slot, even if the reserves are larger than it. Hosts prefer
+  /// different replicas: with the same preference, all of them would fill the
+  /// emptiest replica before they receive each other's reports. If work fails
+  /// at all replicas, none of them is left out but those that can't be reached.
+  std::optional<PlacementChoice> ChooseBatch(const BatchPlacement& batch,
+                                             TimePoint now) const;
 
   /// Updates the mean service time of the endpoint, from which expected waits
   /// are computed, with the time from the start of an attempt to its complete
--- a/Libraries/LibSimulation/failing_items.cc
+++ b/Libraries/LibSimulation/failing_items.cc
@@ -95,17 +95,13 @@
                this->job_table, this->config, this->peers, this->failures,
                this->now, /*unix_milliseconds=*/0, filter)) {
       auto& progress = this->queue.Progress(next->item);
-      std::set<std::string> excluded = started;
-      excluded.insert(progress.avoided.begin(), progress.avoided.end());
-      const std::uint32_t reserve = next->is_sound_and_in_time() ? 0 : 1;
-      const WorkId work = next->item.Hash();
-      auto choice = this->placement.ChooseBatch(kEndpoint, excluded, this->now,
-                                                reserve, work);
-      if (!choice && !progress.avoided.empty()) {
-        progress.avoided.clear();
-        choice = this->placement.ChooseBatch(kEndpoint, started, this->now,
-                                             reserve, work);
-      }
+      const auto choice = ChooseReplica(
+          this->placement, progress,
+          {.endpoint = kEndpoint,
+           .excluded = started,
+           .extra_reserve = next->is_sound_and_in_time() ? 0u : 1u,
+           .work = next->item.Hash()},
+          this->now);
       if (!choice) {
         filter.full_endpoints.insert(kEndpoint);
         continue;
--- a/Services/Gateway/batch_data_reader.cc
+++ b/Services/Gateway/batch_data_reader.cc
@@ -143,8 +143,12 @@
     return;
   }
   std::erase_if(this->partial_reads, [this, &kept](const auto& entry) {
-    kept += entry.second.bytes();
-    return kept > this->options.partial_bytes;
+    const std::size_t bytes = entry.second.bytes();
+    if (kept + bytes > this->options.partial_bytes) {
+      return true;
+    }
+    kept += bytes;
+    return false;
   });
   this->partial_reads[key_prefix] = read;
 }
--- a/Services/Gateway/batch_runner.cc
+++ b/Services/Gateway/batch_runner.cc
@@ -115,15 +115,15 @@
   for (const auto& item : idle_items) {
     const Run& run = this->runs.at(item);
     const bool has_progress = run.events > 0;
-    this->queue.Progress(item).avoided.insert(run.attempt->replica());
     const std::string replica = run.attempt->replica();
+    this->queue.Progress(item).avoided.insert(replica);
     const ReplicaRecord* record = this->context.directory.Find(replica);
     // With more requests than slots, the item may have been waiting for one.
     const bool had_slot =
         record != nullptr &&
         this->context.loads.Total(replica).total() <= record->slots;
     if (had_slot) {
-      run.attempt->OnFailure(FailureKind::kUnusable);
+      run.attempt->OnFailure(FailureKind::kUnusable, "no event received");
     }
     this->StopRun(item, "no event received");
     if (had_slot) {
@@ -229,15 +229,12 @@
         (!peer_due || next->due_ms <= *peer_due + kUrgencySlackMilliseconds);
     const std::uint32_t reserve = is_most_urgent ? 0 : kUrgencyReserve;
     auto& progress = this->queue.Progress(item);
-    std::set<std::string> excluded = started;
-    excluded.insert(progress.avoided.begin(), progress.avoided.end());
-    auto choice = this->context.placement.ChooseBatch(endpoint, excluded, now,
-                                                      reserve, item.Hash());
-    if (!choice && !progress.avoided.empty()) {
-      progress.avoided.clear();
-      choice = this->context.placement.ChooseBatch(endpoint, started, now,
-                                                   reserve, item.Hash());
-    }
+    const auto choice = ChooseReplica(this->context.placement, progress,
+                                      {.endpoint = endpoint,
+                                       .excluded = started,
+                                       .extra_reserve = reserve,
+                                       .work = item.Hash()},
+                                      now);
     if (!choice) {
       if (next->is_sound_and_in_time()) {
         // Items come in order of their due times, so the first one counts.
@@ -276,27 +273,15 @@
 void BatchRunner::PreemptForSoundItem(const std::string& endpoint,
                                       const RoutingConfig& routing_config,
                                       std::int64_t unix_milliseconds) {
-  constexpr const char* kReason =
-      "slot needed for an item that can meet its due time";
-  if (const auto late = this->queue.LateRunAt(
-          endpoint, this->job_table, routing_config, unix_milliseconds)) {
-    this->StopRun(*late, kReason);
+  const auto item =
+      this->queue.RunToPreempt(endpoint, this->job_table, routing_config,
+                               this->context.failures, unix_milliseconds);
+  if (!item) {
     return;
   }
-  const auto failing = std::find_if(
-      this->runs.begin(), this->runs.end(), [&, this](const auto& entry) {
-        const auto& [item, run] = entry;
-        const BatchJobEntry* job = this->job_table.Find(item.job);
-        const Route* route =
-            job == nullptr ? nullptr : RouteOfJob(routing_config, job->record);
-        return run.events == 0 && route != nullptr &&
-               EndpointOfJob(*route, item.job) == endpoint &&
-               this->context.failures.BeliefOf(item.Hash()).is_failing;
-      });
-  if (failing != this->runs.end()) {
-    const ItemReference item = failing->first;
-    this->StopRun(item, kReason);
-    this->DelayFailedItem(item, false);
+  this->StopRun(*item, "slot needed for an item that can meet its due time");
+  if (this->context.failures.BeliefOf(item->Hash()).is_failing) {
+    this->DelayFailedItem(*item, false);
   }
 }
 
@@ -372,6 +357,7 @@
   this->LoadRecordedProgress(item);
   auto& progress = this->queue.Progress(item);
   ++progress.attempts;
+  progress.events_at_start = progress.events;
   const TimePoint now = BootTimeNow();
   if (progress.attempts == 1) {
     progress.first_started = now;
@@ -497,7 +483,7 @@
     if (progress.text.size() > kMaximumTextBytes) {
       progress.Restart();
     }
-    run.attempt->OnFailure(FailureKind::kUnusable);
+    run.attempt->OnFailure(FailureKind::kUnusable, "malformed output");
     this->StopRun(item, "malformed output");
     this->DelayFailedItem(item, false);
   }
--- a/Services/Gateway/batch_runner.h
+++ b/Services/Gateway/batch_runner.h
@@ -92,9 +92,8 @@
   };
 
   void Tick();
-  /// Stops one run at the endpoint, to free its slot for a sound item that can
-  /// be finished in time: that of an item that will be late, or of one that is
-  /// expected to fail and has brought no event.
+  /// Stops one run at the endpoint, if BatchQueue names one, to free its slot
+  /// for a sound item that can be finished in time.
   void PreemptForSoundItem(const std::string& endpoint,
                            const RoutingConfig& routing_config,
                            std::int64_t unix_milliseconds);
--- a/Services/Gateway/forwarded_request.cc
+++ b/Services/Gateway/forwarded_request.cc
@@ -258,7 +258,8 @@
 }
 
 void ForwardedRequest::EndMalformedAttempt(const std::string& reason) {
-  const FailureCause cause = this->attempt->OnFailure(FailureKind::kBroken);
+  const FailureCause cause =
+      this->attempt->OnFailure(FailureKind::kBroken, reason);
   this->attempt->Cancel();
   this->OnEnd({.end = ExchangeEnd::kBrokenInBody,
                .verdict = Verdict::kMayHaveRun,
--- a/Services/Gateway/gateway.cc
+++ b/Services/Gateway/gateway.cc
@@ -461,6 +461,7 @@
   this->crash_evidence.Expire(BootTimeNow());
   this->LogBlockChanges();
   this->loads.DropExpiredReports(BootTimeNow());
+  this->failures.Expire(BootTimeNow());
   for (const auto& replica : this->directory.RemoveExpired(BootTimeNow())) {
     LogEvent(Event::kReplicaChanged,
              {{"replica", replica},
--- a/Services/Gateway/replica_attempt.cc
+++ b/Services/Gateway/replica_attempt.cc
@@ -148,17 +148,17 @@
     result.reason = this->refusal_reason;
   } else if (result.end == ExchangeEnd::kNotConnected) {
     result.verdict = Verdict::kNotRun;
-    result.cause = this->OnFailure(FailureKind::kUnreachable);
+    result.cause = this->OnFailure(FailureKind::kUnreachable, reason);
   } else if (result.end != ExchangeEnd::kComplete) {
     result.verdict = Verdict::kMayHaveRun;
-    result.cause = this->OnFailure(FailureKind::kBroken);
+    result.cause = this->OnFailure(FailureKind::kBroken, result.reason);
     this->context.crash_watch.OnBrokenAttempt(
         this->options.replica, this->endpoint, this->options.shared_parts);
   } else {
     if (this->options.is_usable()) {
       this->context.failures.OnSuccess(this->run, now);
     } else {
-      result.cause = this->OnFailure(FailureKind::kUnusable);
+      result.cause = this->OnFailure(FailureKind::kUnusable, "");
     }
     if (this->is_success) {
       this->context.crash_evidence.OnServed(this->options.shared_parts, now);
@@ -172,17 +172,15 @@
   on_end(result);
 }
 
-FailureCause ReplicaAttempt::OnFailure(FailureKind kind) {
+FailureCause ReplicaAttempt::OnFailure(FailureKind kind,
+                                       const std::string& reason) {
   const TimePoint now = BootTimeNow();
   const FailureCause cause =
       this->context.failures.OnFailure(this->run, kind, now);
   if (cause == FailureCause::kReplica) {
-    LogEvent(Event::kReplicaPaused,
-             {{"replica", this->options.replica},
-              {"reason", kind == FailureKind::kUnreachable
-                             ? "no connection"
-                             : "work fails here and not elsewhere"},
-              {"request", this->options.attempt_id}});
+    LogEvent(Event::kReplicaPaused, {{"replica", this->options.replica},
+                                     {"reason", reason},
+                                     {"request", this->options.attempt_id}});
   }
   return cause;
 }
--- a/Services/Gateway/replica_attempt.h
+++ b/Services/Gateway/replica_attempt.h
@@ -70,8 +70,9 @@
   /// While paused, no further bytes of the response are read.
   void set_paused(bool paused);
 
-  /// Attributes the failure of an attempt that its owner cancels.
-  FailureCause OnFailure(FailureKind kind);
+  /// Attributes the failure of an attempt that its owner cancels. `reason` is
+  /// for logs.
+  FailureCause OnFailure(FailureKind kind, const std::string& reason);
 
   const std::string& replica() const { return this->options.replica; }
   TimePoint started() const { return this->start_time; }
--- a/Tests/LibServing/batch_job_table_test.cc
+++ b/Tests/LibServing/batch_job_table_test.cc
@@ -433,6 +433,18 @@
                    .has_value());
   }
 
+  /// Makes the item one that is expected to fail: two replicas that serve other
+  /// work have failed it.
+  void FailElsewhere(const ItemReference& item) {
+    for (const std::string replica : {"r1", "r2"}) {
+      this->failures.OnSuccess(
+          {.endpoint = "first", .replica = replica, .work = 1}, this->now);
+      this->failures.OnFailure(
+          {.endpoint = "first", .replica = replica, .work = item.Hash()},
+          FailureKind::kBroken, this->now);
+    }
+  }
+
   std::string Next(const ItemFilter& filter) const {
     const auto next =
         this->queue.Next(this->job_table, this->config, this->peers,
@@ -469,14 +481,47 @@
   const ItemReference late{.job = "first-job", .item = 0};
   this->queue.SetRunning(late, true);
   this->unix_now = 1000 + 18000;
-  const auto late_run_at = [this](const std::string& endpoint) {
-    return this->queue.LateRunAt(endpoint, this->job_table, this->config,
-                                 this->unix_now);
+  const auto run_to_preempt = [this](const std::string& endpoint) {
+    return this->queue.RunToPreempt(endpoint, this->job_table, this->config,
+                                    this->failures, this->unix_now);
   };
-  CHECK_FALSE(late_run_at("second").has_value());
-  CHECK(late_run_at("first") == late);
+  CHECK_FALSE(run_to_preempt("second").has_value());
+  CHECK(run_to_preempt("first") == late);
+  this->unix_now = 1000;
+  CHECK_FALSE(run_to_preempt("first").has_value());
+}
+
+// Guards against an item that is expected to fail and keeps its slot while a
+// sound one waits, and against losing a run of it that has brought output.
+TEST(BatchQueue_TwoEndpoints, RunOfAFailingItemWithoutOutputIsPreempted) {
+  const ItemReference failing{.job = "first-job", .item = 0};
+  this->queue.SetRunning(failing, true);
   this->unix_now = 1000;
-  CHECK_FALSE(late_run_at("first").has_value());
+  const auto run_to_preempt = [this] {
+    return this->queue.RunToPreempt("first", this->job_table, this->config,
+                                    this->failures, this->unix_now);
+  };
+  this->queue.Progress(failing);
+  CHECK_FALSE(run_to_preempt().has_value());
+  this->FailElsewhere(failing);
+  CHECK(run_to_preempt() == failing);
+  this->queue.Progress(failing).events = 1;
+  CHECK_FALSE(run_to_preempt().has_value());
+}
+
+// Guards against failed items that start before those that have not run yet,
+// and against losing the output of an item whose run was broken once.
+TEST(BatchQueue_TwoEndpoints, FailedItemComesAfterTheOthersUnlessItHasOutput) {
+  const ItemReference first{.job = "first-job", .item = 0};
+  this->queue.Progress(first);
+  this->failures.OnFailure(
+      {.endpoint = "first", .replica = "r1", .work = first.Hash()},
+      FailureKind::kBroken, this->now);
+  STRCMP_EQUAL("second-job", this->Next({}).c_str());
+  this->queue.Progress(first).events = 3;
+  STRCMP_EQUAL("first-job", this->Next({}).c_str());
+  this->FailElsewhere(first);
+  STRCMP_EQUAL("second-job", this->Next({}).c_str());
 }
 
 }  // namespace crocus
--- a/Tests/LibServing/failure_attribution_test.cc
+++ b/Tests/LibServing/failure_attribution_test.cc
@@ -177,11 +177,16 @@
     bounded.OnFailure(Run(0, work), FailureKind::kUnusable,
                       kStart + std::chrono::milliseconds(work));
   }
-  std::size_t remembered = 0;
-  for (WorkId work = 1; work <= 1000; ++work) {
-    remembered += bounded.BeliefOf(work).replicas;
-  }
-  CHECK_EQUAL(100U, remembered);
+  const auto remembered = [&bounded] {
+    std::size_t count = 0;
+    for (WorkId work = 1; work <= 1000; ++work) {
+      count += bounded.BeliefOf(work).replicas;
+    }
+    return count;
+  };
+  CHECK_EQUAL(100U, remembered());
+  bounded.Expire(kStart + std::chrono::hours(1));
+  CHECK_EQUAL(0U, remembered());
 }
 
 namespace {
--- a/Tests/LibServing/placement_test.cc
+++ b/Tests/LibServing/placement_test.cc
@@ -46,6 +46,12 @@
                              FailureKind::kUnreachable, kStart);
   }
 
+  std::optional<PlacementChoice> ChooseBatch(const std::string& endpoint,
+                                             std::uint32_t extra_reserve = 0) {
+    return this->placement.ChooseBatch(
+        {.endpoint = endpoint, .extra_reserve = extra_reserve}, kStart);
+  }
+
   std::string Online(const std::set<std::string>& tried = {}) {
     const auto choice = this->placement.ChooseOnline("model", tried, kStart);
     return choice ? choice->replica : "";
@@ -101,11 +107,9 @@
   constexpr std::uint32_t kExtraReserve = 1;
   for (const std::uint32_t slots : {1u, 2u}) {
     this->directory.Update({.id = "few", .endpoint = "few", .slots = slots});
-    CHECK(this->placement.ChooseBatch("few", {}, kStart, kExtraReserve)
-              .has_value());
+    CHECK(this->ChooseBatch("few", kExtraReserve).has_value());
     this->loads.OnSent("few", WorkClass::kOnline);
-    CHECK_FALSE(this->placement.ChooseBatch("few", {}, kStart, kExtraReserve)
-                    .has_value());
+    CHECK_FALSE(this->ChooseBatch("few", kExtraReserve).has_value());
     this->loads.OnEnded("few", WorkClass::kOnline);
   }
 }
@@ -114,10 +118,9 @@
 TEST(Placement_ThreeZones, BatchLeavesTheReserveFree) {
   this->Fill("z1", WorkClass::kOnline, 2);
   this->Fill("z2", WorkClass::kBatch, 2);
-  STRCMP_EQUAL(
-      "z3", this->placement.ChooseBatch("model", {}, kStart)->replica.c_str());
+  STRCMP_EQUAL("z3", this->ChooseBatch("model")->replica.c_str());
   this->Fill("z3", WorkClass::kBatch, 2);
-  CHECK_FALSE(this->placement.ChooseBatch("model", {}, kStart).has_value());
+  CHECK_FALSE(this->ChooseBatch("model").has_value());
 }
 
 // Guards against callers that wait for a response that will miss its target, in
