Review case 8: groups of requests that crash replicas count as one crash

Cause: the evidence on prompt parts counts all crashes within 250 ms as one and blocks a part at three.

--- /dev/null
+++ b/review/8/scenario.py
@@ -0,0 +1,117 @@
+"""Case 8: requests with a part that crashes replicas come in groups."""
+
+import asyncio
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "standins-2"))
+
+import standins as s  # noqa: E402
+
+STABLE_S = s.BOUNDS["stable_window_ms"] / 1000
+PART = "dead01"
+GROUPS = 5
+GROUP_SIZE = 4
+GROUP_INTERVAL_S = 6
+# SPREAD=1 sends the same number of requests one after the other instead.
+IS_SPREAD = os.environ.get("SPREAD") == "1"
+
+
+async def scenario(record, directory, gateways, has_trouble):
+    store = s.Store(record)
+    store_port = await store.start()
+    store.put("keyed.op", "config", s.config(1))
+    crashes = []
+    arrivals = []
+
+    def on_begin(replica, request, fields):
+        if request.startswith("tainted"):
+            arrivals.append((record.now(), request))
+            if has_trouble:
+                crashes.append(record.now())
+            record.write("%s reaches %s" % (request, replica.name))
+
+    replicas = [
+        s.Replica("i-llm%d" % number, "proof-models", store, record, 8, on_begin)
+        for number in range(9)
+    ]
+    for replica in replicas:
+        replica.crashes_on = PART if has_trouble else None
+        await replica.start()
+    for number, zone in enumerate(("waco-a", "denton-a", "houston-a")):
+        gateway = s.Gateway("front-%s-1" % zone, store_port, directory, zone)
+        gateways.append(gateway)
+        await gateway.start()
+    await asyncio.sleep(2)
+    record.write("the gateways are ready")
+    is_over = False
+    tasks = []
+
+    async def one(gateway, request, prefix):
+        answer = await s.send(
+            gateway.front,
+            "POST",
+            "/logo/" + request,
+            [
+                (s.HEADER + "Attempt-Id", request),
+                (s.HEADER + "Model", "m"),
+                (s.HEADER + "Token-Count", "450,10"),
+                (s.HEADER + "Prompt-Prefix", prefix),
+                (s.HEADER + "Deadline-Ms", "5000"),
+            ],
+            b"x",
+            5,
+        )
+        record.write(
+            "%s at %s answered %d, %s"
+            % (
+                request,
+                gateway.name,
+                answer.status,
+                "whole" if answer.complete else "cut",
+            )
+        )
+
+    async def sound_clients():
+        number = 0
+        while not is_over:
+            number += 1
+            prefix = "aa01:100,bb%02x:100,cc%06x:250" % (number % 8, number)
+            request = "sound%06d" % number
+            gateway = gateways[number % len(gateways)]
+            tasks.append(asyncio.ensure_future(one(gateway, request, prefix)))
+            await asyncio.sleep(0.1)
+
+    clients = asyncio.ensure_future(sound_clients())
+    await asyncio.sleep(3)
+    for number in range(GROUPS * GROUP_SIZE):
+        prefix = "aa01:100,%s:100,dd%06x:250" % (PART, number)
+        gateway = gateways[number % len(gateways)]
+        tasks.append(
+            asyncio.ensure_future(one(gateway, "tainted%02d" % number, prefix))
+        )
+        if IS_SPREAD:
+            await asyncio.sleep(GROUP_INTERVAL_S / GROUP_SIZE)
+        elif number % GROUP_SIZE == GROUP_SIZE - 1:
+            await asyncio.sleep(GROUP_INTERVAL_S)
+    is_over = True
+    await clients
+    await asyncio.gather(*tasks)
+    if has_trouble and len(crashes) < 5:
+        record.write("only %d replicas have ended" % len(crashes))
+        return False
+    late = [
+        request
+        for at, request in arrivals
+        if crashes and at > crashes[4] + STABLE_S
+    ]
+    record.write(
+        "%d requests with the part reached replicas later than %.1f s after the fifth "
+        "crash; 3 are allowed; %d replicas have ended"
+        % (len(late), STABLE_S, len(crashes))
+    )
+    return len(late) > 3
+
+
+sys.exit(s.run(FOLDER, scenario))
