--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -768,7 +768,11 @@
 
     async def bounded():
         # Sessions that the end of the loop cancels are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        # The gateways end with the test, also if it is stopped from outside.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         try:
             return await asyncio.wait_for(
                 scenario(record, directory, gateways,
@@ -783,7 +787,7 @@
         is_broken = asyncio.run(bounded())
         record.write("result: " + ("rule broken" if is_broken else "rule held"))
         code = 1 if is_broken else 0
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError) as error:
         record.write("result: could not run: %r" % (error,))
         code = 2
     keep = os.environ.get("KEEP_LOGS")
