--- a/review/8/scenario.py
+++ b/review/8/scenario.py
@@ -37,6 +37,7 @@
         for number in range(9)
     ]
     for replica in replicas:
+        replica.events = 40
         replica.crashes_on = PART if has_trouble else None
         await replica.start()
     for number, zone in enumerate(("waco-a", "denton-a", "houston-a")):
@@ -47,22 +48,26 @@
     record.write("the gateways are ready")
     is_over = False
     tasks = []
+    failed_sound = []
 
     async def one(gateway, request, prefix):
+        is_tainted = PART in prefix
         answer = await s.send(
             gateway.front,
             "POST",
-            "/logo/" + request,
+            ("/logo/" if is_tainted else "/name/") + request,
             [
                 (s.HEADER + "Attempt-Id", request),
                 (s.HEADER + "Model", "m"),
-                (s.HEADER + "Token-Count", "450,10"),
+                (s.HEADER + "Token-Count", "450,40"),
                 (s.HEADER + "Prompt-Prefix", prefix),
                 (s.HEADER + "Deadline-Ms", "5000"),
             ],
             b"x",
             5,
         )
+        if not is_tainted and not (answer.status == 200 and answer.complete):
+            failed_sound.append(record.now())
         record.write(
             "%s at %s answered %d, %s"
             % (
@@ -111,6 +116,10 @@
         "crash; 3 are allowed; %d replicas have ended"
         % (len(late), STABLE_S, len(crashes))
     )
+    record.write(
+        "%d sound requests failed or were cut in that time"
+        % len([at for at in failed_sound if crashes and at > crashes[4] + STABLE_S])
+    )
     return len(late) > 3
 
 
