Refuse answers whose status the protocol does not have

Callers saw: a replica answered with status 000; the caller got a response with the status line "HTTP/1.1 0 OK" and the replica's signature and body. The same held for 001, 099, 600 and 999. An answer behind a 101 was passed on as the answer to the request.

Cause: the parser takes any three digits as a status, and ResponseParser passed them on without a look at their range. 101 counted as an interim response.

Change: ResponseParser ends the response as malformed if its status is not between 100 and 599, or if it is 101, since no request asks for another protocol. So the connection is closed, the replica counts as failed, and the attempt as one that may have run. All answers of replicas and of the store are read by this parser.

Evidence: before the change Gateway_BrokenAnswer.WithImpossibleStatusIsNotPassedOn failed for all of these statuses, on new and kept connections, for requests that run once, streams and, but for 600 and 999, which are retried, the others; HttpFetch_BrokenAnswer.WithImpossibleStatusIsNotTaken failed for all but 101. Both pass after it. Batch items were not affected: Gateway_BrokenAnswerToItems.WithImpossibleStatusIsNotListed passes on both.

--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -7,6 +7,19 @@
 
 namespace crocus {
 
+namespace {
+
+/// Whether an answer to a request may have the status: RFC 9110, section 15. No
+/// request asks to switch protocols, so bytes after 101 would be no answer.
+constexpr bool IsPossibleStatus(int status) {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
+
+}  // namespace
+
 ResponseParser::ResponseParser() {
   this->eager(true);
   // Bodies are read piece by piece, so their length is not limited here.
@@ -28,7 +41,11 @@
 void ResponseParser::on_response_impl(int status,
                                       Text reason,
                                       int,
-                                      ErrorCode&) {
+                                      ErrorCode& error) {
+  if (!IsPossibleStatus(status)) {
+    error = boost::beast::http::error::bad_status;
+    return;
+  }
   this->collected.status = static_cast<std::uint32_t>(status);
   this->collected.reason = reason.to_string();
 }
--- a/Tests/GatewayFaults/truncated_head_test.cc
+++ b/Tests/GatewayFaults/truncated_head_test.cc
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "GatewayFaults/replica_answer.h"
 #include "PlatformStandin/gateway_fleet.h"
 #include "PlatformStandin/scripted_server.h"
 #include "platform/names.h"
@@ -27,20 +28,6 @@
                                            : "half-sent";
 }
 
-std::string Field(std::string_view name, const std::string& value) {
-  return std::string(name) + ": " + value + "\r\n";
-}
-
-const std::string kEvents = "id: 0\ndata: d0\n\nid: 1\ndata: d1\n\n";
-
-/// The head of a sound response with that framing; the field of the framing is
-/// neither first nor last.
-std::string SoundHead(const std::string& id, const std::string& framing) {
-  return "HTTP/1.1 200 OK\r\n" + Field(platform::header::kAttemptId, id) +
-         framing + Field(platform::header::kSignature, "s") +
-         Field("Content-Type", "text/event-stream") + "\r\n";
-}
-
 /// Fields of each framing that a body can have.
 std::vector<std::string> Framings() {
   return {Field("Content-Length", std::to_string(kEvents.size())),
--- /dev/null
+++ b/Tests/LibAsyncHttp/http_fetch_test.cc
@@ -0,0 +1,85 @@
+#include "LibAsyncHttp/http_fetch.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <string>
+
+#include "PlatformStandin/scripted_server.h"
+
+namespace crocus {
+
+/// A server that sends bytes which are no answer.
+TEST_GROUP(HttpFetch_BrokenAnswer) {
+  boost::asio::io_context loop;
+  ConnectionPool pool{this->loop};
+  ScriptedResponse answer;
+  ScriptedServer server{
+      this->loop, [this](const ScriptedRequest&) { return this->answer; }};
+  std::string wrong;
+  /// Each call has a connection of its own, since the server closes them.
+  int calls = 0;
+
+  Result<FetchedResponse> Send(const std::string& body) {
+    std::optional<Result<FetchedResponse>> result;
+    Fetch(this->loop, this->pool,
+          {.pool_key = "call-" + std::to_string(this->calls++),
+           .server = {boost::asio::ip::address_v4::loopback(),
+                      this->server.port()},
+           .head = {.method = "POST", .target = "/"},
+           .body = body,
+           .timeout = std::chrono::seconds(3)},
+          [&result](auto fetched) { result = std::move(fetched); });
+    while (!result) {
+      this->loop.run_one();
+    }
+    return *result;
+  }
+
+  /// Notes in `wrong` if the answer is taken, or if the request counts as not
+  /// run.
+  void CheckIsNotTaken(const std::string& description,
+                       const std::string& body) {
+    const auto fetched = this->Send(body);
+    if (fetched) {
+      this->wrong += description + ": status " +
+                     std::to_string(fetched->head.status) + " with " +
+                     std::to_string(fetched->body.size()) + " bytes; ";
+    } else if (fetched.error().verdict != Verdict::kMayHaveRun) {
+      this->wrong += description + ": not run; ";
+    }
+  }
+};
+
+// Guards against refusing whole answers.
+TEST(HttpFetch_BrokenAnswer, WholeAnswersAreTaken) {
+  for (const std::string start :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 599 \r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nX-!#$%&'*+-.^_`|~09: \ta b\xff\t\r\n"}) {
+    for (const std::string rest :
+         {"Content-Length: 2\r\n\r\n{}",
+          "Transfer-Encoding: Chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "\r\n{}"}) {
+      this->answer = {.bytes = start + rest, .closes = true};
+      const auto fetched = this->Send("");
+      STRCMP_EQUAL("{}", fetched ? fetched->body.c_str()
+                                 : fetched.error().message.c_str());
+    }
+  }
+}
+
+// Guards against taking a status that the protocol does not have.
+TEST(HttpFetch_BrokenAnswer, WithImpossibleStatusIsNotTaken) {
+  for (const std::string status : {"000", "001", "099", "600", "999", "101"}) {
+    for (const std::string rest :
+         {"Content-Length: 2\r\n\r\n{}",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "\r\n{}"}) {
+      this->answer = {.bytes = "HTTP/1.1 " + status + " OK\r\n" + rest,
+                      .closes = true};
+      this->CheckIsNotTaken(status, "");
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
+}  // namespace crocus
