Take no part of a body as whole after a reset during the upload

Callers saw: a replica answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete response.

Cause: a body without a length and without chunks ends with its connection, and ClientConnection told a close from a reset by the error of the read. The kernel reports a reset once. While a request is being written, the write may get the error, and the read then ends like after a close; its handler may even run before that of the write.

Change: while the request is being written, the end of such a body is undecided until the write has ended. If the write failed, the response is broken, and its request may have run. If it succeeds, the server has closed in order and the body is whole. Bodies with a length or chunks tell their end themselves and are still taken during an upload.

--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -79,6 +79,8 @@
   this->skipped_heads = 0;
   ++this->exchanges;
   this->is_request_sent = false;
+  this->has_write_failed = false;
+  this->is_end_undecided = false;
   this->head_delivered = false;
   this->skipped_response = false;
   this->is_paused = false;
@@ -124,8 +126,12 @@
         // A failed write is not reported here: the read reports the reset,
         // after any response that the server sent before it.
         self->is_request_sent = !error;
+        self->has_write_failed = static_cast<bool>(error);
         // A connection is kept for long after its exchange.
         self->request_text = std::string();
+        if (self->is_busy && self->is_end_undecided) {
+          self->EndUnframedBody();
+        }
       });
   this->Read();
 }
@@ -251,13 +257,9 @@
     return;
   }
   const auto self = this->shared_from_this();
-  // A body without a length and without chunks ends when the connection is
-  // closed; after a reset it is incomplete.
   if (error == boost::asio::error::eof && this->head_delivered &&
       this->parser->need_eof()) {
-    boost::beast::error_code ignored;
-    this->parser->put_eof(ignored);
-    this->FinishComplete();
+    this->EndUnframedBody();
     return;
   }
   this->End(this->head_delivered ? ExchangeEnd::kBrokenInBody
@@ -265,6 +267,23 @@
             "connection ended: " + error.message());
 }
 
+void ClientConnection::EndUnframedBody() {
+  // The kernel reports a reset once. If the write of the request got the error,
+  // the read ends like after a close, and before the write has told it.
+  this->is_end_undecided = !this->is_request_sent && !this->has_write_failed;
+  if (this->is_end_undecided) {
+    return;
+  }
+  if (this->has_write_failed) {
+    this->End(ExchangeEnd::kBrokenInBody,
+              "connection failed while the request was being written");
+    return;
+  }
+  boost::beast::error_code ignored;
+  this->parser->put_eof(ignored);
+  this->FinishComplete();
+}
+
 void ClientConnection::FinishComplete() {
   const ResponseHead head = this->parser->head();
   const bool is_reusable = head.keep_alive && this->is_request_sent &&
--- a/Libraries/LibAsyncHttp/client_connection.h
+++ b/Libraries/LibAsyncHttp/client_connection.h
@@ -56,6 +56,9 @@
   /// Passes what was parsed to the callbacks. False if the exchange has ended.
   bool DeliverParsed();
   void OnReadError(const boost::system::error_code& error);
+  /// Ends the exchange at the end of a connection that ends a body without a
+  /// length and without chunks. The body is incomplete after a reset.
+  void EndUnframedBody();
   void FinishComplete();
   void End(ExchangeEnd end, const std::string& reason);
   void Close();
@@ -76,6 +79,11 @@
   /// True if the parser has left bytes at its last call.
   bool has_rest = false;
   bool is_request_sent = false;
+  /// The connection failed while the request was being written.
+  bool has_write_failed = false;
+  /// An unframed body has ended while the request was being written. The end of
+  /// the write tells whether the connection was closed or reset.
+  bool is_end_undecided = false;
   bool is_head_request = false;
   bool head_delivered = false;
   /// A mismatched response was skipped, so the connection is not reused.
--- a/Tests/GatewayFaults/broken_answer_test.cc
+++ b/Tests/GatewayFaults/broken_answer_test.cc
@@ -170,6 +170,29 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
+// Guards against a part of a body without a length that counts as whole because
+// the error of the connection was reported to the write of the request.
+TEST(Gateway_BrokenAnswer, ResetDuringAnUploadIsNoEndOfABody) {
+  constexpr int kRepetitions = 12;
+  const std::string body(3u << 20, 'b');
+  for (auto& server : this->servers) {
+    server.set_answers_before_body(true);
+  }
+  for (const int delay_milliseconds : {0, 1, 5}) {
+    for (const std::string kind : {"plain", "once", "stream", "resumable"}) {
+      for (int i = 0; i < kRepetitions; ++i) {
+        const std::string id = this->NextId(kind);
+        this->answer = {.bytes = SoundHead(id, ""),
+                        .late_bytes = "id: 0\ndata: d0\n\n",
+                        .delay = std::chrono::milliseconds(delay_milliseconds),
+                        .resets = true};
+        this->SendOne(kind, id, "reset", body);
+      }
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
 /// Gateway before two replicas that each send a broken answer at the first run
 /// of an item, and a sound one at the next.
 TEST_GROUP(Gateway_BrokenAnswerToItems) {
