Refuse answers with a folded line in their head

Callers saw: a replica sent an answer with a line whose name began with a blank or a tab. The caller got it as an answer, with that line passed on as a part of the field before. Where the line was " Transfer-Encoding: chunked", the caller got the framing of the chunks as a part of the body.

Cause: the parser joins a line that begins with a blank to the value before it, the obsolete line folding of HTTP. RFC 9112, section 5.2, has a gateway replace the fold or answer 502.

Change: ResponseParser::Put refuses a head with such a line, so the attempt ends before its head, as one that may have run. It sees each fold, since the parser leaves a line in the input until it has the byte after it. Lines of a body are not looked at.

Evidence: before the change these failed for lines that begin with a blank or a tab, and passed for all other names that are none (blanks within or behind a name, control bytes, no colon, an empty name), which the parser refuses: Gateway_BrokenAnswer.WithMalformedFieldNameIsNotPassedOn, HttpFetch_BrokenAnswer.WithMalformedFieldNameIsNotTaken and ResponseParser_Fragments.FoldedLineIsAlwaysMalformed. They pass after it. The text of batch items was not affected: Gateway_BrokenAnswerToItems.WithMalformedFieldNameIsNotListed passes on both.

--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -170,7 +170,7 @@
       break;
     }
     boost::beast::error_code error;
-    const std::size_t used = this->parser->put(this->input.data(), error);
+    const std::size_t used = this->parser->Put(this->input.data(), error);
     this->input.consume(used);
     this->has_rest = this->input.size() > 0 && error;
     if (!this->DeliverParsed()) {
--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -1,6 +1,7 @@
 #include "LibAsyncHttp/response_parser.h"
 
 #include <limits>
+#include <string_view>
 #include <utility>
 
 #include <boost/beast/http/error.hpp>
@@ -18,6 +19,24 @@
   return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
 }
 
+/// Whether a line of the head in `input` continues the field before it. The
+/// parser would take a field whose name begins with a blank, be it one that
+/// frames the body, as a part of the value before. RFC 9112, section 5.2, lets
+/// a gateway refuse such a response.
+///
+/// The parser keeps a line in its input until the byte after it has arrived, so
+/// each fold is seen in one input.
+bool HasFoldedLine(std::string_view input) {
+  constexpr std::string_view kLineEnd = "\r\n";
+  if (input.starts_with(kLineEnd)) {
+    // The end of the head, whose fields are consumed.
+    return false;
+  }
+  const std::string_view head = input.substr(0, input.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 }  // namespace
 
 ResponseParser::ResponseParser() {
@@ -26,6 +45,16 @@
   this->body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
+std::size_t ResponseParser::Put(boost::asio::const_buffer bytes,
+                                boost::beast::error_code& error) {
+  if (!this->is_header_done() &&
+      HasFoldedLine({static_cast<const char*>(bytes.data()), bytes.size()})) {
+    error = boost::beast::http::error::bad_field;
+    return 0;
+  }
+  return this->put(bytes, error);
+}
+
 std::string ResponseParser::TakeBody() {
   return std::exchange(this->body, std::string());
 }
--- a/Libraries/LibAsyncHttp/response_parser.h
+++ b/Libraries/LibAsyncHttp/response_parser.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 
 #include "LibAsyncHttp/http_head.h"
@@ -16,6 +17,11 @@
  public:
   ResponseParser();
 
+  /// Parses bytes and returns how many it has consumed. Errors are those of
+  /// Boost.Beast, `need_more` among them.
+  std::size_t Put(boost::asio::const_buffer bytes,
+                  boost::beast::error_code& error);
+
   const ResponseHead& head() const { return this->collected; }
 
   /// Moves out the body bytes that arrived since the last call.
@@ -24,6 +30,8 @@
  private:
   using ErrorCode = boost::beast::error_code;
   using Text = boost::beast::string_view;
+  /// Callers use Put, which refuses what Boost.Beast tolerates.
+  using boost::beast::http::basic_parser<false>::put;
 
   void on_request_impl(boost::beast::http::verb method,
                        Text method_text,
--- a/Tests/GatewayFaults/broken_answer_test.cc
+++ b/Tests/GatewayFaults/broken_answer_test.cc
@@ -57,6 +57,24 @@
           }};
 }
 
+/// An answer whose framing is `line`, and whose body is `body`.
+BrokenAnswer WithFraming(const std::string& line, const std::string& body) {
+  return {.name = line, .bytes = [line, body](const std::string& id) {
+            return SoundHead(id, line) + body;
+          }};
+}
+
+/// An answer with a line before its first field, or behind its last one.
+BrokenAnswer WithLine(const std::string& line, bool is_first) {
+  return {.name = line + (is_first ? " first" : " last"),
+          .bytes = [line, is_first](const std::string& id) {
+            std::string answer = SoundAnswer(id);
+            answer.insert(answer.find(is_first ? "\r\n" : "\r\n\r\n") + 2,
+                          line);
+            return answer;
+          }};
+}
+
 std::vector<BrokenAnswer> AnswersWithImpossibleStatus() {
   std::vector<BrokenAnswer> answers;
   for (const std::string line :
@@ -74,6 +92,39 @@
   return answers;
 }
 
+std::vector<BrokenAnswer> AnswersWithMalformedFieldNames() {
+  std::vector<BrokenAnswer> answers;
+  for (const std::string& line :
+       {std::string("X Note: a\r\n"), std::string("X-Note : a\r\n"),
+        std::string("X-Note\t: a\r\n"), std::string(" X-Note: a\r\n"),
+        std::string("\tX-Note: a\r\n"), std::string("X\x01Note: a\r\n"),
+        std::string("X\0Note: a\r\n", 11), std::string("X\x7fNote: a\r\n"),
+        std::string("X\x0bNote: a\r\n"), std::string("X\rNote: a\r\n"),
+        std::string("X\nNote: a\r\n"), std::string("X-Note\r\n"),
+        std::string(": a\r\n"), std::string("X-Note: a\n")}) {
+    answers.push_back(WithLine(line, true));
+    answers.push_back(WithLine(line, false));
+  }
+  const std::string chunks = "f\r\nid: 0\ndata: d0\n\n\r\n0\r\n\r\n";
+  for (const std::string name : {" Transfer-Encoding", "\tTransfer-Encoding"}) {
+    answers.push_back({.name = name + " last", .bytes = [=](const auto& id) {
+                         std::string head = SoundHead(id, "");
+                         head.insert(head.size() - 2, Field(name, "chunked"));
+                         return head + chunks;
+                       }});
+  }
+  for (const std::string name :
+       {"Transfer-Encoding ", " Transfer-Encoding", "\tTransfer-Encoding",
+        "Transfer-Encoding\x01", "Transfer Encoding"}) {
+    answers.push_back(WithFraming(Field(name, "chunked"), chunks));
+  }
+  for (const std::string name :
+       {"Content-Length ", " Content-Length", "Content-Length\x7f"}) {
+    answers.push_back(WithFraming(Field(name, "3"), kEvents));
+  }
+  return answers;
+}
+
 }  // namespace
 
 /// Gateway before replicas that send bytes which are no answer.
@@ -170,6 +221,13 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
+// Guards against passing on a line whose name is no field name, or a body that
+// such a line frames in another way.
+TEST(Gateway_BrokenAnswer, WithMalformedFieldNameIsNotPassedOn) {
+  this->SendAll(AnswersWithMalformedFieldNames());
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
 // Guards against a part of a body without a length that counts as whole because
 // the error of the connection was reported to the write of the request.
 TEST(Gateway_BrokenAnswer, ResetDuringAnUploadIsNoEndOfABody) {
@@ -251,4 +309,9 @@
   this->CheckItems(AnswersWithImpossibleStatus());
 }
 
+// Guards against an item whose text has a body with a wrong framing.
+TEST(Gateway_BrokenAnswerToItems, WithMalformedFieldNameIsNotListed) {
+  this->CheckItems(AnswersWithMalformedFieldNames());
+}
+
 }  // namespace crocus
--- a/Tests/LibAsyncHttp/http_fetch_test.cc
+++ b/Tests/LibAsyncHttp/http_fetch_test.cc
@@ -82,6 +82,27 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
+// Guards against a line whose name is no field name, and against a body that
+// such a line frames in another way.
+TEST(HttpFetch_BrokenAnswer, WithMalformedFieldNameIsNotTaken) {
+  for (const std::string name :
+       {"X Note", "X-Note ", "X-Note\t", " X-Note", "\tX-Note", "X\x01Note",
+        "X\x7fNote", "X\x0bNote", "X\rNote", " Content-Length",
+        "Content-Length\x01", " Transfer-Encoding", "Transfer Encoding"}) {
+    const bool is_coding = name.find("Encoding") != std::string::npos;
+    const std::string line = name + (is_coding ? ": chunked" : ": 2");
+    for (const std::string start : {"", "Server:\r\n", "Server: s\r\n"}) {
+      for (const std::string end : {"Content-Length: 4\r\n", "A: b\r\n", ""}) {
+        this->answer = {.bytes = "HTTP/1.1 200 OK\r\n" + start + line + "\r\n" +
+                                 end + "\r\n{\n\n}",
+                        .closes = true};
+        this->CheckIsNotTaken(start + line + "\r\n" + end, "");
+      }
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
 // Guards against refusing a whole answer that does not wait for the request.
 TEST(HttpFetch_BrokenAnswer, WholeAnswerDuringAnUploadIsTaken) {
   this->server.set_answers_before_body(true);
--- a/Tests/LibAsyncHttp/http_head_test.cc
+++ b/Tests/LibAsyncHttp/http_head_test.cc
@@ -2,6 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -17,11 +22,40 @@
   const std::string text = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
   ResponseParser parser;
   boost::beast::error_code error;
-  parser.put(boost::asio::buffer(text), error);
+  parser.Put(boost::asio::buffer(text), error);
   CHECK_TRUE(parser.is_header_done());
   return parser.head().framing;
 }
 
+/// The body of a response; nothing if the response is malformed.
+std::optional<std::string> ParseFragments(
+    const std::vector<std::string>& fragments) {
+  ResponseParser parser;
+  std::string pending;
+  for (const auto& fragment : fragments) {
+    pending += fragment;
+    boost::beast::error_code error;
+    pending.erase(0, parser.Put(boost::asio::buffer(pending), error));
+    if (error && error != boost::beast::http::error::need_more) {
+      return std::nullopt;
+    }
+  }
+  return parser.is_header_done() ? std::optional(parser.TakeBody())
+                                 : std::nullopt;
+}
+
+/// The text cut in two at each place, and into its bytes.
+std::vector<std::vector<std::string>> FragmentsOf(const std::string& text) {
+  std::vector<std::vector<std::string>> all;
+  std::vector<std::string> bytes;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    bytes.push_back(text.substr(i, 1));
+    all.push_back({text.substr(0, i), text.substr(i)});
+  }
+  all.push_back(std::move(bytes));
+  return all;
+}
+
 }  // namespace
 
 TEST_GROUP(RequestHead_WithQuery){};
@@ -76,7 +110,7 @@
   const std::string text = "HTTP/1.1 200 OK\r\n\r\nabc";
   ResponseParser parser;
   boost::beast::error_code error;
-  parser.put(boost::asio::buffer(text), error);
+  parser.Put(boost::asio::buffer(text), error);
   CHECK_TRUE(parser.need_eof());
   CHECK_FALSE(parser.is_done());
   STRCMP_EQUAL("abc", parser.TakeBody().c_str());
@@ -103,4 +137,31 @@
              BodyFraming::kChunked);
 }
 
+/// A response that arrives in two fragments, or byte by byte.
+TEST_GROUP(ResponseParser_Fragments){};
+
+// Guards against a folded line that is not seen since it arrives in parts.
+TEST(ResponseParser_Fragments, FoldedLineIsAlwaysMalformed) {
+  for (const std::string fields :
+       {" A: b\r\n", "A: b\r\n C: d\r\n", "A: b\r\n\tC: d\r\nE: f\r\n",
+        "A:\r\n C: d\r\n", "A: b\r\n \r\n"}) {
+    for (const auto& fragments :
+         FragmentsOf("HTTP/1.1 200 OK\r\n" + fields + "\r\nbody")) {
+      CHECK_FALSE(ParseFragments(fragments).has_value());
+    }
+  }
+}
+
+// Guards against taking lines of a body for lines of the head.
+TEST(ResponseParser_Fragments, BodyMayHaveLinesThatBeginWithBlanks) {
+  const std::string body = "\r\n a\r\n\tb\r\n\r\n c";
+  for (const std::string fields : {"", "A: b\r\n", "A: b\r\nC:\r\n"}) {
+    for (const auto& fragments :
+         FragmentsOf("HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body)) {
+      STRCMP_EQUAL(body.c_str(),
+                   ParseFragments(fragments).value_or("none").c_str());
+    }
+  }
+}
+
 }  // namespace crocus
