Refuse answers in a transfer coding that is not decoded

Callers saw: a replica sent an answer with "Transfer-Encoding: gzip, chunked", "gzip", "chunked, gzip" or an unknown coding. The caller got the encoded bytes as the body, without the field that says so: it concerns one connection only and is not passed on. Batch items were listed with text from such a body.

Cause: the parser reads the body in chunks if "chunked" is the last of the codings, and to its length or the end of the connection if it is not, whatever the other codings are.

Change: ResponseParser refuses a Transfer-Encoding other than chunked alone. It does so at the field, before the head counts as parsed, so that nothing of the answer is passed on.

--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/error.hpp>
 
 namespace crocus {
@@ -79,10 +80,17 @@
   this->collected.reason = reason.to_string();
 }
 
-void ResponseParser::on_field_impl(boost::beast::http::field,
+void ResponseParser::on_field_impl(boost::beast::http::field field,
                                    Text name,
                                    Text value,
-                                   ErrorCode&) {
+                                   ErrorCode& error) {
+  // The receiver would get the body still encoded, without the field that says
+  // so, since that concerns this connection only.
+  if (field == boost::beast::http::field::transfer_encoding &&
+      !boost::beast::iequals(value, "chunked")) {
+    error = boost::beast::http::error::bad_transfer_encoding;
+    return;
+  }
   this->collected.fields.Add(name.to_string(), value.to_string());
 }
 
--- a/Tests/GatewayFaults/broken_answer_test.cc
+++ b/Tests/GatewayFaults/broken_answer_test.cc
@@ -57,6 +57,9 @@
           }};
 }
 
+/// A body in chunks.
+const std::string kChunks = "10\r\nid: 0\ndata: d0\n\n\r\n0\r\n\r\n";
+
 /// An answer whose framing is `line`, and whose body is `body`.
 BrokenAnswer WithFraming(const std::string& line, const std::string& body) {
   return {.name = line, .bytes = [line, body](const std::string& id) {
@@ -105,18 +108,17 @@
     answers.push_back(WithLine(line, true));
     answers.push_back(WithLine(line, false));
   }
-  const std::string chunks = "f\r\nid: 0\ndata: d0\n\n\r\n0\r\n\r\n";
   for (const std::string name : {" Transfer-Encoding", "\tTransfer-Encoding"}) {
     answers.push_back({.name = name + " last", .bytes = [=](const auto& id) {
                          std::string head = SoundHead(id, "");
                          head.insert(head.size() - 2, Field(name, "chunked"));
-                         return head + chunks;
+                         return head + kChunks;
                        }});
   }
   for (const std::string name :
        {"Transfer-Encoding ", " Transfer-Encoding", "\tTransfer-Encoding",
         "Transfer-Encoding\x01", "Transfer Encoding"}) {
-    answers.push_back(WithFraming(Field(name, "chunked"), chunks));
+    answers.push_back(WithFraming(Field(name, "chunked"), kChunks));
   }
   for (const std::string name :
        {"Content-Length ", " Content-Length", "Content-Length\x7f"}) {
@@ -125,6 +127,24 @@
   return answers;
 }
 
+/// Codings that the gateway does not decode, or a wrong list of them.
+std::vector<BrokenAnswer> AnswersWithUnknownTransferCoding() {
+  std::vector<BrokenAnswer> answers;
+  for (const std::string coding :
+       {"gzip, chunked", "gzip", "chunked, gzip", "identity, chunked",
+        "xchunked", "chunked;q=1", "\"chunked\"", ""}) {
+    const std::string line = Field("Transfer-Encoding", coding);
+    answers.push_back(WithFraming(line, kChunks));
+    answers.push_back(WithFraming(
+        line + Field("Content-Length", std::to_string(kChunks.size())),
+        kChunks));
+  }
+  answers.push_back(WithFraming(Field("Transfer-Encoding", "gzip") +
+                                    Field("Transfer-Encoding", "chunked"),
+                                kChunks));
+  return answers;
+}
+
 }  // namespace
 
 /// Gateway before replicas that send bytes which are no answer.
@@ -228,6 +248,13 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
+// Guards against passing on a body that is still encoded for its transfer: the
+// field that says so is not passed on.
+TEST(Gateway_BrokenAnswer, WithUnknownTransferCodingIsNotPassedOn) {
+  this->SendAll(AnswersWithUnknownTransferCoding());
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
 // Guards against a part of a body without a length that counts as whole because
 // the error of the connection was reported to the write of the request.
 TEST(Gateway_BrokenAnswer, ResetDuringAnUploadIsNoEndOfABody) {
@@ -314,4 +341,9 @@
   this->CheckItems(AnswersWithMalformedFieldNames());
 }
 
+// Guards against an item whose text has a body that is still encoded.
+TEST(Gateway_BrokenAnswerToItems, WithUnknownTransferCodingIsNotListed) {
+  this->CheckItems(AnswersWithUnknownTransferCoding());
+}
+
 }  // namespace crocus
