Ignore the fields after the last chunk of an answer

Callers saw: a replica answered 200 without its signature and sent the signature in the fields after the last chunk; the caller got it as a signed answer. A 503 with Not-Executed after the last chunk was refused as not run, which promises the caller that its request will never have run, although the head had not said so.

Cause: the parser reports those fields like those of the head. When head and body arrive in one read, ResponseParser had added them to the head before the head was looked at; when they arrive apart, they came too late to count.

Change: ResponseParser drops fields that come after the head. Nothing of the users' protocol is sent there, and whether they counted depended on how the bytes arrived.

Evidence: before the change Gateway_BrokenAnswer.WithFieldsOfTheHeadInTheTrailerIsNotPassedOn failed for both answers, all kinds of requests, and new and kept connections; it passes after it.

--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -84,6 +84,11 @@
                                    Text name,
                                    Text value,
                                    ErrorCode& error) {
+  if (this->is_header_done()) {
+    // A field behind the last chunk. Whether it came with the head would depend
+    // on how the bytes arrive.
+    return;
+  }
   // The receiver would get the body still encoded, without the field that says
   // so, since that concerns this connection only.
   if (field == boost::beast::http::field::transfer_encoding &&
--- a/Tests/GatewayFaults/broken_answer_test.cc
+++ b/Tests/GatewayFaults/broken_answer_test.cc
@@ -145,6 +145,24 @@
   return answers;
 }
 
+/// Answers without a field that the fields after the last chunk have.
+std::vector<BrokenAnswer> AnswersWithFieldsOfTheHeadInTheTrailer() {
+  const std::string last_chunk = "0\r\n";
+  const auto with_trailer = [&](const std::string& status,
+                                std::string_view name) {
+    return BrokenAnswer{
+        .name = status + " with trailer " + std::string(name),
+        .bytes = [=, field = Field(name, "1")](const std::string& id) {
+          return "HTTP/1.1 " + status + "\r\n" +
+                 Field(platform::header::kAttemptId, id) +
+                 Field("Transfer-Encoding", "chunked") + "\r\n" + last_chunk +
+                 field + "\r\n";
+        }};
+  };
+  return {with_trailer("200 OK", platform::header::kSignature),
+          with_trailer("503 Unavailable", platform::header::kNotExecuted)};
+}
+
 }  // namespace
 
 /// Gateway before replicas that send bytes which are no answer.
@@ -255,6 +273,13 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
+// Guards against a signature, or a statement that the request was not run, that
+// counts although it comes after the body.
+TEST(Gateway_BrokenAnswer, WithFieldsOfTheHeadInTheTrailerIsNotPassedOn) {
+  this->SendAll(AnswersWithFieldsOfTheHeadInTheTrailer());
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
 // Guards against a part of a body without a length that counts as whole because
 // the error of the connection was reported to the write of the request.
 TEST(Gateway_BrokenAnswer, ResetDuringAnUploadIsNoEndOfABody) {
