Read answers in LibHttp with the connections of LibAsyncHttp

What operators and callers of crocus-entry, crocus-daemon and the tools could see: SendHttp took answers with a status from 600 on or 101, and answers with names that are no field names (a blank or a control byte in them, before or behind them). Where such a name was that of the framing, the body was read to the end of the connection, framing included. Fields after the last chunk that never end were read for 150 s in a call with a timeout of 5 s, and the extension of a chunk until the timeout.

Cause: SendHttp was built on the client of ulfius. It hands out trimmed names without the bytes that they came from, bounds neither the framing of a body nor the fields after it, and notices its timeout only where its library does. No check behind it can be strict.

Change: SendHttp sends its request on a ClientConnection, with an event loop for the call. So all answers go through one parser with the same bounds, and the timeout is that of the loop. HttpClientLibrary has nothing to initialize any more and is gone. An empty answer without a length that is whole is now told from one that was cut. As before, URLs are http; others are an error with a reason.

Evidence: on the code before, HttpClient_BrokenAnswer failed for statuses and names, HttpClient_EndlessBytes.TrailerIsGivenUp and ChunkExtensionIsGivenUp failed; they pass after it, and so do the other tests of LibHttp and LibPlatform and the 59 of Processes. ResetDuringAnUploadIsNoEndOfABody and four of HttpClient_EndlessBytes passed before, too.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -2,101 +2,110 @@
 
 #include <algorithm>
 #include <cctype>
+#include <memory>
+#include <optional>
+#include <utility>
+#include <vector>
 
-#include <ulfius.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "LibAsyncHttp/client_connection.h"
+#include "LibAsyncHttp/http_serialization.h"
+#include "LibHttp/http_url.h"
 
 namespace crocus {
 
 namespace {
 
-/// Owns the request and response objects of ulfius.
-class Exchange {
- public:
-  explicit Exchange(const HttpCall& call) {
-    ulfius_init_request(&this->request);
-    ulfius_init_response(&this->response);
-    ulfius_set_request_properties(
-        &this->request, U_OPT_HTTP_VERB, call.method.c_str(), U_OPT_HTTP_URL,
-        call.url.c_str(), U_OPT_TIMEOUT,
-        static_cast<unsigned long>(call.timeout.count()), U_OPT_NONE);
-    for (const auto& [name, value] : call.headers) {
-      u_map_put(this->request.map_header, name.c_str(), value.c_str());
-    }
-    if (!call.body.empty()) {
-      ulfius_set_binary_body_request(&this->request, call.body.data(),
-                                     call.body.size());
-    }
-  }
+using Endpoint = boost::asio::ip::tcp::endpoint;
+using SteadyTime = std::chrono::steady_clock::time_point;
 
-  ~Exchange() {
-    ulfius_clean_request(&this->request);
-    ulfius_clean_response(&this->response);
-  }
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char character) {
+                   return static_cast<char>(std::tolower(character));
+                 });
+  return text;
+}
 
-  Exchange(const Exchange&) = delete;
-  Exchange& operator=(const Exchange&) = delete;
+std::string SerializeCall(const HttpCall& call, const HttpUrl& url) {
+  RequestHead head{.method = call.method, .target = url.target};
+  head.fields.Add("Host", url.authority);
+  for (const auto& [name, value] : call.headers) {
+    head.fields.Set(name, value);
+  }
+  return SerializeRequest(head, call.body);
+}
 
-  HttpReply Reply() const {
-    HttpReply reply{.status = static_cast<int>(this->response.status),
-                    .headers = {},
-                    .body = {}};
-    const char** keys = u_map_enum_keys(this->response.map_header);
-    for (int i = 0; keys != nullptr && keys[i] != nullptr; ++i) {
-      std::string name = keys[i];
-      std::transform(name.begin(), name.end(), name.begin(),
-                     [](unsigned char character) {
-                       return static_cast<char>(std::tolower(character));
-                     });
-      reply.headers[name] = u_map_get(this->response.map_header, keys[i]);
-    }
-    return reply;
+Result<std::vector<Endpoint>> Resolve(boost::asio::io_context& loop,
+                                      const HttpUrl& url) {
+  boost::asio::ip::tcp::resolver resolver(loop);
+  boost::system::error_code error;
+  std::vector<Endpoint> endpoints;
+  for (const auto& entry : resolver.resolve(url.host, url.port, error)) {
+    endpoints.push_back(entry.endpoint());
+  }
+  if (error || endpoints.empty()) {
+    return Failure(ErrorCode::kUnavailable,
+                   url.authority + ": " + error.message(),
+                   Verdict::kMayHaveRun);
   }
+  return endpoints;
+}
 
-  _u_request request{};
-  _u_response response{};
+/// How an exchange with one server ended.
+struct Outcome {
+  /// None if the time was over or the receiver aborted it.
+  std::optional<ExchangeEnd> end;
+  std::string reason;
+  HttpReply reply;
 };
 
-struct BodyReceiver {
-  const BodyPartHandler& on_part;
-  bool has_received = false;
+Outcome RunExchange(boost::asio::io_context& loop,
+                    const Endpoint& server,
+                    std::string request_text,
+                    const ExchangeOptions& options,
+                    SteadyTime deadline,
+                    const BodyPartHandler& on_part) {
+  Outcome outcome{.reason = "no complete response in time"};
   bool is_aborted = false;
-};
-
-/// Whether the reply shows that its head has arrived to the end. The library
-/// reports a connection that ends within the head as the end of a response
-/// without a body, unless the framing that it has read by then says otherwise.
-bool HasWholeHead(const HttpReply& reply, const BodyReceiver& receiver) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return receiver.has_received || reply.status == kNoContent ||
-         reply.status == kNotModified ||
-         reply.headers.contains("content-length") ||
-         reply.headers.contains("transfer-encoding");
-}
-
-std::size_t OnBodyPart(void* contents,
-                       std::size_t size,
-                       std::size_t count,
-                       void* user) {
-  auto* receiver = static_cast<BodyReceiver*>(user);
-  receiver->has_received = true;
-  if (!receiver->on_part({static_cast<const char*>(contents), size * count})) {
-    receiver->is_aborted = true;
-    return 0;
+  const auto connection =
+      std::make_shared<ClientConnection>(loop, server, [](const auto&) {});
+  connection->Start(
+      std::move(request_text),
+      {.on_head =
+           [&outcome](const ResponseHead& head) {
+             outcome.reply.status = static_cast<int>(head.status);
+             for (const auto& field : head.fields.all()) {
+               outcome.reply.headers[ToLower(field.name)] = field.value;
+             }
+             return HeadDecision::kAccept;
+           },
+       .on_body =
+           [&is_aborted, &connection, &on_part](std::string_view bytes) {
+             if (!on_part(bytes)) {
+               is_aborted = true;
+               connection->Cancel();
+             }
+           },
+       .on_end =
+           [&outcome](ExchangeEnd end, const std::string& reason) {
+             outcome.end = end;
+             outcome.reason = reason;
+           }},
+      options);
+  while (!outcome.end && !is_aborted && loop.run_one_until(deadline) > 0) {
   }
-  return size * count;
+  if (is_aborted) {
+    outcome.reason = "the response was aborted by the client";
+  }
+  connection->Cancel();
+  return outcome;
 }
 
 }  // namespace
 
-HttpClientLibrary::HttpClientLibrary() {
-  ulfius_global_init();
-}
-
-HttpClientLibrary::~HttpClientLibrary() {
-  ulfius_global_close();
-}
-
 Result<HttpReply> SendHttp(const HttpCall& call) {
   std::string body;
   TRY_ASSIGN(HttpReply reply,
@@ -113,26 +122,26 @@
 
 Result<HttpReply> SendHttpStreaming(const HttpCall& call,
                                     const BodyPartHandler& on_part) {
-  Exchange exchange(call);
-  BodyReceiver receiver{.on_part = on_part};
-  const int status = ulfius_send_http_streaming_request(
-      &exchange.request, &exchange.response, OnBodyPart, &receiver);
-  if (receiver.is_aborted) {
-    return Failure(ErrorCode::kUnavailable,
-                   call.url + ": the response was aborted by the client",
-                   Verdict::kMayHaveRun);
-  }
-  if (status != U_OK) {
-    return Failure(ErrorCode::kUnavailable, call.url + ": no complete response",
-                   Verdict::kMayHaveRun);
+  const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
+  TRY_ASSIGN(const HttpUrl url, ParseHttpUrl(call.url));
+  boost::asio::io_context loop(1);
+  TRY_ASSIGN(const auto servers, Resolve(loop, url));
+  const ExchangeOptions options{.connect_timeout = call.timeout,
+                                .is_head_request = call.method == "HEAD"};
+  Outcome outcome;
+  for (const auto& server : servers) {
+    loop.restart();
+    outcome = RunExchange(loop, server, SerializeCall(call, url), options,
+                          deadline, on_part);
+    if (outcome.end != ExchangeEnd::kNotConnected) {
+      break;
+    }
   }
-  HttpReply reply = exchange.Reply();
-  if (!HasWholeHead(reply, receiver)) {
-    return Failure(ErrorCode::kUnavailable,
-                   call.url + ": the connection ended before the response did",
+  if (outcome.end != ExchangeEnd::kComplete) {
+    return Failure(ErrorCode::kUnavailable, call.url + ": " + outcome.reason,
                    Verdict::kMayHaveRun);
   }
-  return reply;
+  return std::move(outcome.reply);
 }
 
 }  // namespace crocus
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -14,6 +14,7 @@
 /// Request to an HTTP server.
 struct HttpCall {
   std::string method = "GET";
+  /// Its scheme is `http`.
   std::string url;
   std::map<std::string, std::string> headers;
   std::string body;
@@ -32,18 +33,10 @@
   bool operator==(const HttpReply&) const = default;
 };
 
-/// Initializes the HTTP client library and cleans it up. A program creates one
-/// object in main, which must outlive all calls.
-class HttpClientLibrary {
- public:
-  HttpClientLibrary();
-  ~HttpClientLibrary();
-  HttpClientLibrary(const HttpClientLibrary&) = delete;
-  HttpClientLibrary& operator=(const HttpClientLibrary&) = delete;
-};
-
-/// Sends one request and waits for the complete response. A failure has the
-/// verdict kMayHaveRun, also if no connection could be made.
+/// Sends one request on a new connection and waits for the complete response.
+/// Fails with kInvalidArgument (verdict not run) if the URL is not an `http`
+/// URL, else with kUnavailable. That has the verdict kMayHaveRun, also if no
+/// connection could be made.
 Result<HttpReply> SendHttp(const HttpCall& call);
 
 /// Receives the parts of a streamed body. Returning false aborts the call.
--- a/Services/Daemon/main.cc
+++ b/Services/Daemon/main.cc
@@ -3,7 +3,6 @@
 
 #include "Daemon/daemon.h"
 #include "LibEvents/event_log.h"
-#include "LibHttp/http_client.h"
 #include "LibSettings/program_start.h"
 
 int main(int argument_count, char** arguments) {
@@ -16,7 +15,6 @@
   if (!settings) {
     return static_cast<int>(exit_code);
   }
-  const crocus::HttpClientLibrary http_library;
   crocus::Daemon daemon(*settings);
   if (const auto started = daemon.Start(); !started) {
     crocus::LogEvent(Event::kListenFailed,
--- a/Services/Entry/main.cc
+++ b/Services/Entry/main.cc
@@ -4,7 +4,6 @@
 #include "Entry/entry.h"
 #include "LibCore/allocator.h"
 #include "LibEvents/event_log.h"
-#include "LibHttp/http_client.h"
 #include "LibSettings/program_start.h"
 
 int main(int argument_count, char** arguments) {
@@ -18,7 +17,6 @@
     return static_cast<int>(exit_code);
   }
   crocus::ReturnLargeBlocksWhenFreed();
-  const crocus::HttpClientLibrary http_library;
   crocus::Entry entry(*settings);
   if (const auto started = entry.Start(); !started) {
     crocus::LogEvent(Event::kListenFailed,
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <sys/resource.h>
+
 #include <string>
 #include <thread>
 
@@ -12,9 +14,19 @@
 
 namespace crocus {
 
+namespace {
+
+/// The largest memory that this process has used so far.
+std::uint64_t PeakResidentBytes() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<std::uint64_t>(usage.ru_maxrss) << 10;
+}
+
+}  // namespace
+
 /// A server that sends its response without end, in a thread of its own.
 TEST_GROUP(HttpClient_EndlessServer) {
-  HttpClientLibrary library;
   boost::asio::io_context loop;
   EndlessServer server{
       this->loop,
@@ -43,7 +55,6 @@
 /// A server that sends the bytes of a test and ends the connection, in a thread
 /// of its own.
 TEST_GROUP(HttpClient_TruncatedHead) {
-  HttpClientLibrary library;
   boost::asio::io_context loop;
   std::string answer;
   bool resets = false;
@@ -105,4 +116,168 @@
   }
 }
 
+/// A server that sends bytes which are no answer, in a thread of its own.
+TEST_GROUP(HttpClient_BrokenAnswer) {
+  boost::asio::io_context loop;
+  ScriptedResponse answer;
+  ScriptedServer server{
+      this->loop, [this](const ScriptedRequest&) { return this->answer; }};
+  std::thread thread;
+  std::string wrong;
+
+  void teardown() override {
+    this->loop.stop();
+    this->thread.join();
+  }
+
+  void Start() {
+    this->thread = std::thread([this] { this->loop.run(); });
+  }
+
+  /// Notes in `wrong` if the answer is taken, or if the request counts as not
+  /// run.
+  void CheckIsNotTaken(const std::string& description,
+                       const std::string& body) {
+    const auto reply = SendHttp(
+        {.method = "POST",
+         .url = "http://127.0.0.1:" + std::to_string(this->server.port()) + "/",
+         .body = body,
+         .timeout = std::chrono::seconds(5)});
+    if (reply) {
+      this->wrong += description + ": status " + std::to_string(reply->status) +
+                     " with " + std::to_string(reply->body.size()) + " bytes; ";
+    } else if (reply.error().verdict != Verdict::kMayHaveRun) {
+      this->wrong += description + ": not run; ";
+    }
+  }
+};
+
+// Guards against taking a status that the protocol does not have.
+TEST(HttpClient_BrokenAnswer, WithImpossibleStatusIsNotTaken) {
+  this->Start();
+  for (const std::string line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK",
+        "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK",
+        "HTTP/1.1 2000 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 OK",
+        "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK"}) {
+    for (const std::string rest :
+         {"Content-Length: 2\r\n\r\n{}",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n", "\r\n{}"}) {
+      this->answer = {.bytes = line + "\r\n" + rest, .closes = true};
+      this->CheckIsNotTaken(line + "\r\n" + rest, "");
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
+// Guards against a line whose name is no field name, and against a body that
+// such a line frames in another way.
+TEST(HttpClient_BrokenAnswer, WithMalformedFieldNameIsNotTaken) {
+  this->Start();
+  for (const std::string name :
+       {"X Note", "X-Note ", "X-Note\t", " X-Note", "\tX-Note", "X\x01Note",
+        "X\x7fNote", "X\x0bNote", "X\rNote", "Content-Length ",
+        " Content-Length", "Content-Length\x01", "Transfer-Encoding ",
+        " Transfer-Encoding", "Transfer-Encoding\x01", "Transfer Encoding"}) {
+    const bool is_coding = name.find("Encoding") != std::string::npos;
+    const std::string line = name + (is_coding ? ": chunked" : ": 2");
+    for (const bool has_length : {false, true}) {
+      this->answer = {
+          .bytes = "HTTP/1.1 200 OK\r\nServer: s\r\n" + line + "\r\n" +
+                   (has_length ? "Content-Length: 4\r\n\r\n" : "\r\n") +
+                   "{\n\n}",
+          .closes = true};
+      this->CheckIsNotTaken(line + (has_length ? " with a length" : ""), "");
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
+// Guards against a part of a body without a length that counts as whole because
+// the connection was reset while the request was being written.
+TEST(HttpClient_BrokenAnswer, ResetDuringAnUploadIsNoEndOfABody) {
+  constexpr int kRepetitions = 20;
+  this->server.set_answers_before_body(true);
+  this->Start();
+  for (const int delay_milliseconds : {0, 1, 5}) {
+    for (int i = 0; i < kRepetitions; ++i) {
+      this->answer = {.bytes = "HTTP/1.1 200 OK\r\nServer: s\r\n\r\n",
+                      .late_bytes = "{}",
+                      .delay = std::chrono::milliseconds(delay_milliseconds),
+                      .resets = true};
+      this->CheckIsNotTaken("after " + std::to_string(delay_milliseconds),
+                            std::string(3u << 20, 'b'));
+    }
+  }
+  STRCMP_EQUAL("", this->wrong.c_str());
+}
+
+/// Servers whose bytes never end, each in a thread of its own, and the memory
+/// that a call uses before them.
+TEST_GROUP(HttpClient_EndlessBytes){
+
+    /// The call must fail before its timeout, with little memory.
+    void CheckIsGivenUp(EndlessServerOptions options){
+        constexpr std::uint64_t kMaximumGrowth = 64u << 20;
+boost::asio::io_context loop;
+EndlessServer server(loop, std::move(options));
+std::thread thread([&loop] { loop.run(); });
+const std::uint64_t before = PeakResidentBytes();
+const auto start = std::chrono::steady_clock::now();
+const auto reply = SendHttpStreaming(
+    {.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/",
+     .timeout = std::chrono::seconds(5)},
+    [](std::string_view) { return true; });
+const auto time = std::chrono::steady_clock::now() - start;
+loop.stop();
+thread.join();
+CHECK_FALSE(reply.has_value());
+CHECK(reply.error().verdict == Verdict::kMayHaveRun);
+CHECK(time < std::chrono::seconds(4));
+CHECK(PeakResidentBytes() - before < kMaximumGrowth);
+}  // namespace crocus
+}
+;
+
+// Guards against keeping the fields of a head that never ends.
+TEST(HttpClient_EndlessBytes, HeadIsGivenUp) {
+  std::string fields;
+  for (int i = 0; i < 1000; ++i) {
+    fields +=
+        "X-Field-" + std::to_string(i) + ": " + std::string(90, 'x') + "\r\n";
+  }
+  this->CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\n", .repeated = fields});
+}
+
+// Guards against keeping a field that never ends.
+TEST(HttpClient_EndlessBytes, FieldIsGivenUp) {
+  this->CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\nX-Field: ",
+                        .repeated = std::string(4096, 'x')});
+}
+
+// Guards against bytes that do not begin like an answer.
+TEST(HttpClient_EndlessBytes, BytesThatAreNoAnswerAreGivenUp) {
+  this->CheckIsGivenUp({.start = "", .repeated = std::string(4096, 'x')});
+}
+
+// Guards against reading interim responses until the timeout.
+TEST(HttpClient_EndlessBytes, InterimResponsesAreGivenUp) {
+  this->CheckIsGivenUp(
+      {.start = "", .repeated = "HTTP/1.1 102 Wait\r\nX-Field: x\r\n\r\n"});
+}
+
+// Guards against keeping the extension of a chunk.
+TEST(HttpClient_EndlessBytes, ChunkExtensionIsGivenUp) {
+  this->CheckIsGivenUp(
+      {.start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;e=",
+       .repeated = std::string(4096, 'x')});
+}
+
+// Guards against keeping the fields after the last chunk.
+TEST(HttpClient_EndlessBytes, TrailerIsGivenUp) {
+  this->CheckIsGivenUp(
+      {.start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       .repeated = "X-Field: 0123456789abcdef\r\n"});
+}
+
 }  // namespace crocus
--- a/Tests/LibPlatform/engine_client_test.cc
+++ b/Tests/LibPlatform/engine_client_test.cc
@@ -7,7 +7,6 @@
 
 #include <boost/asio/io_context.hpp>
 
-#include "LibHttp/http_client.h"
 #include "PlatformStandin/scripted_server.h"
 
 namespace crocus {
@@ -15,7 +14,6 @@
 /// An engine that writes a part of its answer's head and closes, in a thread of
 /// its own.
 TEST_GROUP(EngineClient_TruncatedHead) {
-  HttpClientLibrary library;
   boost::asio::io_context loop;
   ScriptedServer server{this->loop, [](const ScriptedRequest&) {
                           return ScriptedResponse{
--- a/Utilities/Bench/real_path.cc
+++ b/Utilities/Bench/real_path.cc
@@ -165,7 +165,6 @@
 }
 
 Result<RealPathResult> MeasureRealPath(const RealPathOptions& options) {
-  const HttpClientLibrary http_library;
   RealPathResult result;
   TRY(MeasureIdle(options, result));
   // Measured before the request rates: open requests would reuse memory that
--- a/Utilities/Control/main.cc
+++ b/Utilities/Control/main.cc
@@ -13,7 +13,6 @@
 #include "Control/rules_commands.h"
 #include "LibCore/text.h"
 #include "LibCore/text_table.h"
-#include "LibHttp/http_client.h"
 
 namespace crocus {
 
@@ -118,7 +117,6 @@
     PrintOverview(wants_help ? std::cout : std::cerr, commands);
     return wants_help ? ControlExitCode::kDone : ControlExitCode::kUsage;
   }
-  const HttpClientLibrary http_library;
   const int words = static_cast<int>(Split(command->words, ' ').size());
   try {
     return RunCommand(*command, count - words, values + words);
