Take no tokens from the body of a failed engine call

What callers of crocus-entry could see: tokens in the body of an engine's 500, 404 or 422 were passed on as the beginning of the answer, and a 500 whose body held {"cancelled": true} ended the stream as cancelled, not as failed.

Cause: SendHttpStreaming passed parts of any body to its handler, which had no status to go by, and EngineClient looked at the status only afterwards.

Change: SendHttpStreaming passes on the body of a success only, and drops that of another answer, up to maximum_body_bytes.

Evidence: EngineClient_BrokenAnswer.BodyOfAFailureHasNoTokens failed before the change and passes after it.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -12,6 +12,7 @@
 
 #include "LibAsyncHttp/client_connection.h"
 #include "LibAsyncHttp/http_serialization.h"
+#include "LibAsyncHttp/http_status.h"
 #include "LibHttp/http_url.h"
 
 namespace crocus {
@@ -54,6 +55,11 @@
   return endpoints;
 }
 
+/// Receives a part of the body of an answer with that status. Returning false
+/// aborts the call.
+using PartOfStatusHandler =
+    std::function<bool(int status, std::string_view part)>;
+
 /// How an exchange with one server ended.
 struct Outcome {
   /// None if the time was over or the receiver aborted it.
@@ -67,7 +73,7 @@
                     std::string request_text,
                     const ExchangeOptions& options,
                     SteadyTime deadline,
-                    const BodyPartHandler& on_part) {
+                    const PartOfStatusHandler& on_part) {
   Outcome outcome{.reason = "no complete response in time"};
   bool is_aborted = false;
   const auto connection =
@@ -83,8 +89,9 @@
              return HeadDecision::kAccept;
            },
        .on_body =
-           [&is_aborted, &connection, &on_part](std::string_view bytes) {
-             if (!on_part(bytes)) {
+           [&outcome, &is_aborted, &connection,
+            &on_part](std::string_view bytes) {
+             if (!on_part(outcome.reply.status, bytes)) {
                is_aborted = true;
                connection->Cancel();
              }
@@ -104,24 +111,8 @@
   return outcome;
 }
 
-}  // namespace
-
-Result<HttpReply> SendHttp(const HttpCall& call) {
-  std::string body;
-  TRY_ASSIGN(HttpReply reply,
-             SendHttpStreaming(call, [&call, &body](std::string_view part) {
-               if (body.size() + part.size() > call.maximum_body_bytes) {
-                 return false;
-               }
-               body += part;
-               return true;
-             }));
-  reply.body = std::move(body);
-  return reply;
-}
-
-Result<HttpReply> SendHttpStreaming(const HttpCall& call,
-                                    const BodyPartHandler& on_part) {
+Result<HttpReply> SendCall(const HttpCall& call,
+                           const PartOfStatusHandler& on_part) {
   const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
   TRY_ASSIGN(const HttpUrl url, ParseHttpUrl(call.url));
   boost::asio::io_context loop(1);
@@ -144,4 +135,32 @@
   return std::move(outcome.reply);
 }
 
+}  // namespace
+
+Result<HttpReply> SendHttp(const HttpCall& call) {
+  std::string body;
+  TRY_ASSIGN(HttpReply reply,
+             SendCall(call, [&call, &body](int, std::string_view part) {
+               if (body.size() + part.size() > call.maximum_body_bytes) {
+                 return false;
+               }
+               body += part;
+               return true;
+             }));
+  reply.body = std::move(body);
+  return reply;
+}
+
+Result<HttpReply> SendHttpStreaming(const HttpCall& call,
+                                    const BodyPartHandler& on_part) {
+  std::size_t dropped_bytes = 0;
+  return SendCall(call, [&](int status, std::string_view part) {
+    if (http_status::IsSuccess(static_cast<std::uint32_t>(status))) {
+      return on_part(part);
+    }
+    dropped_bytes += part.size();
+    return dropped_bytes <= call.maximum_body_bytes;
+  });
+}
+
 }  // namespace crocus
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -19,8 +19,8 @@
   std::map<std::string, std::string> headers;
   std::string body;
   std::chrono::seconds timeout{10};
-  /// Size of the body after which SendHttp aborts the call. A server may send
-  /// bytes without end.
+  /// Size of a body after which the call is aborted, unless its parts go to a
+  /// handler. A server may send bytes without end.
   std::size_t maximum_body_bytes = 16u << 20;
 };
 
@@ -42,8 +42,9 @@
 /// Receives the parts of a streamed body. Returning false aborts the call.
 using BodyPartHandler = std::function<bool(std::string_view part)>;
 
-/// Like SendHttp, but passes each part of the body to `on_part` when it
-/// arrives. The body of the returned HttpReply is empty.
+/// Like SendHttp, but passes each part of the body of a success (2xx) to
+/// `on_part` when it arrives; the body of another answer is dropped. The body of
+/// the returned HttpReply is empty.
 Result<HttpReply> SendHttpStreaming(const HttpCall& call,
                                     const BodyPartHandler& on_part);
 
--- a/Tests/LibPlatform/engine_client_test.cc
+++ b/Tests/LibPlatform/engine_client_test.cc
@@ -39,4 +39,50 @@
   CHECK(result.error().verdict == Verdict::kMayHaveRun);
 }
 
+/// An engine or plain service whose answers a test writes, in a thread of its
+/// own.
+TEST_GROUP(EngineClient_BrokenAnswer) {
+  boost::asio::io_context loop;
+  ScriptedResponse answer;
+  ScriptedServer server{
+      this->loop, [this](const ScriptedRequest&) { return this->answer; }};
+  std::thread thread{[this] { this->loop.run(); }};
+  EngineClient engine{"http://127.0.0.1:" +
+                      std::to_string(this->server.port())};
+  std::string tokens;
+
+  void teardown() override {
+    this->loop.stop();
+    this->thread.join();
+  }
+
+  void SetAnswer(const std::string& status, const std::string& body) {
+    this->answer = {.bytes = "HTTP/1.1 " + status + "\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body,
+                    .closes = true};
+  }
+
+  Result<EngineOutcome> Complete() {
+    return this->engine.Complete(
+        {.request_id = "r", .timeout = std::chrono::seconds(5)},
+        [this](std::uint32_t, const std::string& text) {
+          this->tokens += text;
+          return true;
+        });
+  }
+};
+
+// Guards against tokens of an answer that says that the request has failed.
+TEST(EngineClient_BrokenAnswer, BodyOfAFailureHasNoTokens) {
+  for (const std::string status : {"500 Error", "422 Invalid", "404 None"}) {
+    for (const std::string end : {"[DONE]", "{\"cancelled\": true}"}) {
+      this->SetAnswer(
+          status,
+          "data: {\"index\": 0, \"text\": \"a\"}\n\ndata: " + end + "\n\n");
+      CHECK_FALSE(this->Complete().has_value());
+    }
+  }
+  STRCMP_EQUAL("", this->tokens.c_str());
+}
+
 }  // namespace crocus
