Take answers of engines and services only with what their protocol names

What callers of crocus-entry could see: a plain service that answered 200 with {} or {"error": …} gave its callers an empty text as the whole answer. Tokens that an engine sent after [DONE] were passed on as a part of an answer that was complete.

Cause: EngineClient and TokenReader used a default where a field was missing, and did not look at what follows the end.

Change: the text of a service and the outcome of a cancel must be there and of their type; otherwise the call has failed and may have run.

--- a/Libraries/LibPlatform/engine_client.cc
+++ b/Libraries/LibPlatform/engine_client.cc
@@ -73,14 +73,15 @@
                  {{"request_id", call.request_id}, {"prompt", call.prompt}},
                  call.timeout)));
   const auto json = ParseJsonObject(reply.body);
-  if (reply.status != kOk || !json) {
+  if (reply.status != kOk || !json || !json->contains("text") ||
+      !(*json)["text"].is_string()) {
     return Failure(ErrorCode::kUnavailable,
-                   "expected status 200 and a JSON object, but the service "
-                   "returned status " +
+                   "expected status 200 and a JSON object with a text, but the "
+                   "service returned status " +
                        std::to_string(reply.status),
                    Verdict::kMayHaveRun);
   }
-  return MemberOr(*json, "text", std::string());
+  return (*json)["text"].get<std::string>();
 }
 
 Result<bool> EngineClient::Cancel(const std::string& request_id) const {
@@ -92,7 +93,13 @@
                    "engine returned status " + std::to_string(reply.status));
   }
   const auto json = ParseJsonObject(reply.body);
-  return json && MemberOr(*json, "cancelled", true);
+  if (!json || !json->contains("cancelled") ||
+      !(*json)["cancelled"].is_boolean()) {
+    return Failure(ErrorCode::kCorrupt,
+                   "the engine's response to a cancel is malformed",
+                   Verdict::kMayHaveRun);
+  }
+  return (*json)["cancelled"].get<bool>();
 }
 
 Result<void> EngineClient::SendCommand(const EngineCommandCall& call) const {
--- a/Libraries/LibPlatform/token_reader.cc
+++ b/Libraries/LibPlatform/token_reader.cc
@@ -24,6 +24,10 @@
   if (event.rfind(kPrefix, 0) != 0) {
     return true;
   }
+  if (this->complete) {
+    // Data after the end of the answer belongs to no answer.
+    return false;
+  }
   const std::string data = event.substr(kPrefix.size());
   if (data == "[DONE]") {
     this->complete = true;
--- a/Tests/LibPlatform/engine_client_test.cc
+++ b/Tests/LibPlatform/engine_client_test.cc
@@ -85,4 +85,46 @@
   STRCMP_EQUAL("", this->tokens.c_str());
 }
 
+// Guards against tokens that come after the end of an answer.
+TEST(EngineClient_BrokenAnswer, NothingFollowsTheEndOfAStream) {
+  const std::string whole =
+      "data: {\"index\": 0, \"text\": \"a\"}\n\ndata: [DONE]\n\n";
+  this->SetAnswer("200 OK", whole + ": a comment\n\n");
+  CHECK_TRUE(this->Complete() == EngineOutcome::kComplete);
+  for (const std::string rest :
+       {"data: {\"index\": 1, \"text\": \"b\"}\n\n", "data: [DONE]\n\n",
+        "data: {\"cancelled\": true}\n\n"}) {
+    this->tokens.clear();
+    this->SetAnswer("200 OK", whole + rest);
+    CHECK_FALSE(this->Complete().has_value());
+    STRCMP_EQUAL("a", this->tokens.c_str());
+  }
+}
+
+// Guards against an empty text for an answer that has none.
+TEST(EngineClient_BrokenAnswer, AnswerOfAServiceHasAText) {
+  this->SetAnswer("200 OK", R"({"text": ""})");
+  STRCMP_EQUAL("", this->engine.CallService({}).value_or("none").c_str());
+  for (const std::string body :
+       {"{}", R"({"text": 1})", R"({"text": null})", R"({"error": "full"})"}) {
+    this->SetAnswer("200 OK", body);
+    const auto text = this->engine.CallService({});
+    CHECK_FALSE(text.has_value());
+    CHECK(text.error().verdict == Verdict::kMayHaveRun);
+  }
+}
+
+// Guards against a cancel that counts as carried out although the engine has
+// not said so: it would not be sent again.
+TEST(EngineClient_BrokenAnswer, AnswerToACancelTellsItsOutcome) {
+  this->SetAnswer("200 OK", R"({"cancelled": true})");
+  CHECK_TRUE(this->engine.Cancel("r") == true);
+  this->SetAnswer("200 OK", R"({"cancelled": false})");
+  CHECK_TRUE(this->engine.Cancel("r") == false);
+  for (const std::string body : {"", "{}", "[]", R"({"cancelled": "no"})"}) {
+    this->SetAnswer("200 OK", body);
+    CHECK_FALSE(this->engine.Cancel("r").has_value());
+  }
+}
+
 }  // namespace crocus
