Bound the tokens that an engine may send

What an operator of crocus-daemon could see: an engine that sends tokens in the right form without end kept its call for up to an hour, and the daemon kept all of its text, for all of its engines in one process.

Cause: each event was bounded, the number of tokens and their text together were not; max_tokens was only told to the engine.

Change: TokenReader takes tokens below the request's max_tokens and 16 MiB of text. What goes beyond ends the stream as failed, and its connection is closed.

Evidence: EngineClient_BrokenAnswer.TokensBeyondTheLimitEndTheStream and TextBeyondTheLimitEndsTheStream failed before the change and pass after it. At the gateway, two more tests of bytes without end (bytes that are no answer, and the heads of 300 answers at once) pass on the code as it was.

--- a/Libraries/LibPlatform/engine_client.cc
+++ b/Libraries/LibPlatform/engine_client.cc
@@ -32,7 +32,7 @@
 Result<EngineOutcome> EngineClient::Complete(
     const EngineCall& call,
     const TokenHandler& on_token) const {
-  TokenReader reader(on_token);
+  TokenReader reader(on_token, {.tokens = call.max_tokens});
   const auto reply = SendHttpStreaming(
       JsonCall(this->base_url + "/v1/completions",
                {{"request_id", call.request_id},
--- a/Libraries/LibPlatform/token_reader.cc
+++ b/Libraries/LibPlatform/token_reader.cc
@@ -48,7 +48,13 @@
     // An error of the engine, for example, is no token.
     return false;
   }
-  if (!this->on_token(MemberOr(*json, "index", 0u), text->get<std::string>())) {
+  const auto token = text->get<std::string>();
+  this->text_bytes += token.size();
+  if (index->get<std::uint64_t>() >= this->limits.tokens ||
+      this->text_bytes > this->limits.text_bytes) {
+    return false;
+  }
+  if (!this->on_token(index->get<std::uint32_t>(), token)) {
     this->cancelled = true;
     return false;
   }
--- a/Libraries/LibPlatform/token_reader.h
+++ b/Libraries/LibPlatform/token_reader.h
@@ -1,8 +1,10 @@
 #ifndef LIBPLATFORM_TOKEN_READER_H_
 #define LIBPLATFORM_TOKEN_READER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 
@@ -12,11 +14,23 @@
 using TokenHandler =
     std::function<bool(std::uint32_t index, const std::string& text)>;
 
+/// What a stream may hold. Beyond it, the stream is malformed: an engine may
+/// send tokens without end.
+struct TokenLimits {
+  /// Tokens of the whole answer, those before a resumed stream included.
+  std::uint32_t tokens = std::numeric_limits<std::uint32_t>::max();
+  /// Bytes of the texts of this stream together.
+  std::size_t text_bytes = 16u << 20;
+
+  bool operator==(const TokenLimits&) const = default;
+};
+
 /// Parses an engine's stream of server-sent events and forwards the tokens to a
 /// handler.
 class TokenReader {
  public:
-  explicit TokenReader(const TokenHandler& on_token) : on_token(on_token) {}
+  explicit TokenReader(const TokenHandler& on_token, TokenLimits limits = {})
+      : on_token(on_token), limits(limits) {}
 
   /// Adds a part of the stream; returns false if the stream must be stopped.
   bool Add(std::string_view part);
@@ -31,6 +45,8 @@
   bool OnEvent(const std::string& event);
 
   const TokenHandler& on_token;
+  const TokenLimits limits;
+  std::size_t text_bytes = 0;
   std::string pending;
   bool complete = false;
   bool cancelled = false;
--- a/Tests/GatewayFaults/endless_bytes_test.cc
+++ b/Tests/GatewayFaults/endless_bytes_test.cc
@@ -110,6 +110,20 @@
   this->CheckClosed();
 }
 
+// Guards against waiting for the end of bytes that do not begin like an answer.
+TEST(Gateway_EndlessBytes, BytesThatAreNoAnswerAreGivenUp) {
+  this->Start("desk", {.start = "", .repeated = std::string(4096, 'x')});
+  CHECK_EQUAL(502U, this->Request("once"));
+  this->CheckClosed();
+}
+
+// Guards against memory that grows with the heads of many answers at once.
+TEST(Gateway_EndlessBytes, HeadsOfAllAnswersStayWithinTheMemoryOfAHost) {
+  this->Start("desk", {.start = "HTTP/1.1 200 OK\r\nX-Field: ",
+                       .repeated = std::string(1u << 20, 'x')});
+  this->CheckMemoryOfConcurrentRequests();
+}
+
 // Guards against reading interim responses until the timeout.
 TEST(Gateway_EndlessBytes, InterimResponsesWithoutEndAreGivenUp) {
   this->Start("desk", {.start = "", .repeated = "HTTP/1.1 102 Wait\r\n\r\n"});
--- a/Tests/LibPlatform/engine_client_test.cc
+++ b/Tests/LibPlatform/engine_client_test.cc
@@ -49,6 +49,7 @@
   std::thread thread{[this] { this->loop.run(); }};
   EngineClient engine{"http://127.0.0.1:" +
                       std::to_string(this->server.port())};
+  std::uint32_t max_tokens = 4;
   std::string tokens;
 
   void teardown() override {
@@ -64,7 +65,9 @@
 
   Result<EngineOutcome> Complete() {
     return this->engine.Complete(
-        {.request_id = "r", .timeout = std::chrono::seconds(5)},
+        {.request_id = "r",
+         .max_tokens = this->max_tokens,
+         .timeout = std::chrono::seconds(5)},
         [this](std::uint32_t, const std::string& text) {
           this->tokens += text;
           return true;
@@ -127,4 +130,32 @@
   }
 }
 
+// Guards against memory that grows with the tokens of an engine that does not
+// stop.
+TEST(EngineClient_BrokenAnswer, TokensBeyondTheLimitEndTheStream) {
+  std::string body;
+  for (int i = 0; i < 1000; ++i) {
+    body += "data: {\"index\": " + std::to_string(i) + ", \"text\": \"a\"}\n\n";
+  }
+  this->SetAnswer("200 OK", body + "data: [DONE]\n\n");
+  const auto outcome = this->Complete();
+  CHECK_FALSE(outcome.has_value());
+  CHECK(outcome.error().verdict == Verdict::kMayHaveRun);
+  STRCMP_EQUAL("aaaa", this->tokens.c_str());
+}
+
+// Guards against memory that grows with the text of few tokens.
+TEST(EngineClient_BrokenAnswer, TextBeyondTheLimitEndsTheStream) {
+  constexpr std::size_t kTextLimit = 16u << 20;
+  this->max_tokens = 1u << 20;
+  std::string body;
+  for (int i = 0; i < 400; ++i) {
+    body += "data: {\"index\": " + std::to_string(i) + ", \"text\": \"" +
+            std::string(100'000, 'a') + "\"}\n\n";
+  }
+  this->SetAnswer("200 OK", body + "data: [DONE]\n\n");
+  CHECK_FALSE(this->Complete().has_value());
+  CHECK(this->tokens.size() <= kTextLimit);
+}
+
 }  // namespace crocus
