Refuse URLs with non-ASCII bytes whatever the sign of char

Cause: ParseHttpUrl compared plain characters with a blank. Where char has no sign, as is usual on arm64, it would take bytes above 0x7f, which it refuses where char has one. Found while reading the diff, not by a failing run: the compiler of this machine gives char a sign.

Change: characters from '!' to '~' only. The time of a call is counted from the connection, as its comment now says.

Evidence: HttpUrl_AnyText.OthersAreErrors has a case for it, which passes here before and after the change.

--- a/Libraries/LibHttp/http_client.cc
+++ b/Libraries/LibHttp/http_client.cc
@@ -113,10 +113,10 @@
 
 Result<HttpReply> SendCall(const HttpCall& call,
                            const PartOfStatusHandler& on_part) {
-  const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
   TRY_ASSIGN(const HttpUrl url, ParseHttpUrl(call.url));
   boost::asio::io_context loop(1);
   TRY_ASSIGN(const auto servers, Resolve(loop, url));
+  const SteadyTime deadline = std::chrono::steady_clock::now() + call.timeout;
   const ExchangeOptions options{.connect_timeout = call.timeout,
                                 .is_head_request = call.method == "HEAD"};
   Outcome outcome;
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -18,6 +18,8 @@
   std::string url;
   std::map<std::string, std::string> headers;
   std::string body;
+  /// From the connection to the end of the response; a host name is resolved
+  /// before.
   std::chrono::seconds timeout{10};
   /// Size of a body after which the call is aborted, unless its parts go to a
   /// handler. A server may send bytes without end.
--- a/Libraries/LibHttp/http_url.cc
+++ b/Libraries/LibHttp/http_url.cc
@@ -10,10 +10,10 @@
   const auto invalid = [&text](const std::string& reason) {
     return Failure(ErrorCode::kInvalidArgument, "\"" + text + "\": " + reason);
   };
-  const bool is_printable = std::all_of(
+  const bool is_graphic = std::all_of(
       text.begin(), text.end(),
-      [](char character) { return character > ' ' && character != '\x7f'; });
-  if (!is_printable) {
+      [](char character) { return character > ' ' && character <= '~'; });
+  if (!is_graphic) {
     return invalid("a URL has no blanks, control or non-ASCII bytes");
   }
   if (!text.starts_with(kScheme)) {
--- a/Tests/LibHttp/http_url_test.cc
+++ b/Tests/LibHttp/http_url_test.cc
@@ -30,7 +30,7 @@
   for (const std::string text :
        {"", "http://", "http:///x", "http://:80/x", "http://h:/x",
         "https://h/x", "10.0.0.7:8080", "http://h/a b", "http://h/a\r\nX: y",
-        "http://h/\x7f"}) {
+        "http://h/\x7f", "http://h/\xc3\xa9"}) {
     const auto url = ParseHttpUrl(text);
     CHECK_FALSE(url.has_value());
     CHECK(url.error().code == ErrorCode::kInvalidArgument);
