--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -45,8 +45,8 @@
 using BodyPartHandler = std::function<bool(std::string_view part)>;
 
 /// Like SendHttp, but passes each part of the body of a success (2xx) to
-/// `on_part` when it arrives; the body of another answer is dropped. The body of
-/// the returned HttpReply is empty.
+/// `on_part` when it arrives; the body of another answer is dropped. The body
+/// of the returned HttpReply is empty.
 Result<HttpReply> SendHttpStreaming(const HttpCall& call,
                                     const BodyPartHandler& on_part);
 
