--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -268,8 +268,9 @@
 }
 
 void ClientConnection::EndUnframedBody() {
-  // The kernel reports a reset once. If the write of the request got the error,
-  // the read ends like after a close, and before the write has told it.
+  // The kernel reports a reset once. If the write of the request gets the
+  // error, the read ends as after a close, and its handler may run before that
+  // of the write.
   this->is_end_undecided = !this->is_request_sent && !this->has_write_failed;
   if (this->is_end_undecided) {
     return;
--- a/Libraries/LibAsyncHttp/response_parser.cc
+++ b/Libraries/LibAsyncHttp/response_parser.cc
@@ -85,8 +85,8 @@
                                    Text value,
                                    ErrorCode& error) {
   if (this->is_header_done()) {
-    // A field behind the last chunk. Whether it came with the head would depend
-    // on how the bytes arrive.
+    // A field after the last chunk. Whether the receiver would see it with the
+    // head depends on how the bytes arrive.
     return;
   }
   // The receiver would get the body still encoded, without the field that says
--- a/Libraries/LibHttp/http_client.h
+++ b/Libraries/LibHttp/http_client.h
@@ -37,8 +37,8 @@
 
 /// Sends one request on a new connection and waits for the complete response.
 /// Fails with kInvalidArgument (verdict not run) if the URL is not an `http`
-/// URL, else with kUnavailable. That has the verdict kMayHaveRun, also if no
-/// connection could be made.
+/// URL. All other failures are kUnavailable and have the verdict kMayHaveRun,
+/// also if no connection could be made.
 Result<HttpReply> SendHttp(const HttpCall& call);
 
 /// Receives the parts of a streamed body. Returning false aborts the call.
--- a/Tests/GatewayFaults/broken_answer_test.cc
+++ b/Tests/GatewayFaults/broken_answer_test.cc
@@ -8,7 +8,6 @@
 
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
-#include <nlohmann/json.hpp>
 
 #include "GatewayFaults/replica_answer.h"
 #include "LibAsyncHttp/http_serialization.h"
@@ -337,22 +336,7 @@
       this->first_answers[id] = broken.bytes(id);
     }
     CHECK_EQUAL(202U, this->fleet.Submit("a", "job", items)->head.status);
-    std::map<std::string, nlohmann::json> listed;
-    CHECK(this->fleet.RunUntil(
-        [&, this] {
-          for (auto& result :
-               this->fleet.ReadAllResults("a", "job", listed.size())) {
-            const std::string id = result["id"];
-            CHECK(listed.emplace(id, std::move(result)).second);
-          }
-          return listed.size() == items.size();
-        },
-        std::chrono::seconds(18)));
-    for (const auto& id : items) {
-      const auto& result = listed.at(id);
-      STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
-      STRCMP_EQUAL("d0\nd1", result["text"].get<std::string>().c_str());
-    }
+    CheckTextsAreWhole(this->fleet, items);
   }
 };
 
--- a/Tests/GatewayFaults/replica_answer.h
+++ b/Tests/GatewayFaults/replica_answer.h
@@ -3,7 +3,9 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "PlatformStandin/gateway_fleet.h"
 #include "platform/names.h"
 
 namespace crocus {
@@ -25,6 +27,11 @@
          Field("Content-Type", "text/event-stream") + "\r\n";
 }
 
+/// Waits until all items of the job "job" are listed, and checks that each has
+/// the whole text of a sound response.
+void CheckTextsAreWhole(GatewayFleet& fleet,
+                        const std::vector<std::string>& items);
+
 }  // namespace crocus
 
 #endif  // TESTS_GATEWAY_FAULTS_REPLICA_ANSWER_H_
--- a/Tests/GatewayFaults/truncated_head_test.cc
+++ b/Tests/GatewayFaults/truncated_head_test.cc
@@ -5,8 +5,6 @@
 #include <string>
 #include <vector>
 
-#include <nlohmann/json.hpp>
-
 #include "GatewayFaults/replica_answer.h"
 #include "PlatformStandin/gateway_fleet.h"
 #include "PlatformStandin/scripted_server.h"
@@ -206,22 +204,7 @@
     }
   }
   CHECK_EQUAL(202U, this->fleet.Submit("a", "job", items)->head.status);
-  std::map<std::string, nlohmann::json> listed;
-  CHECK(this->fleet.RunUntil(
-      [&, this] {
-        for (auto& result :
-             this->fleet.ReadAllResults("a", "job", listed.size())) {
-          const std::string id = result["id"];
-          CHECK(listed.emplace(id, std::move(result)).second);
-        }
-        return listed.size() == items.size();
-      },
-      std::chrono::seconds(18)));
-  for (const auto& id : items) {
-    const auto& result = listed.at(id);
-    STRCMP_EQUAL("completed", result["state"].get<std::string>().c_str());
-    STRCMP_EQUAL("d0\nd1", result["text"].get<std::string>().c_str());
-  }
+  CheckTextsAreWhole(this->fleet, items);
 }
 
 }  // namespace crocus
