Measure each endless answer from a fresh peak of memory

Cause: HttpClient_EndlessBytes compared the peak of the whole process, so a test before it with a larger peak could hide a growth. Its fixture had no member before its method, and the formatter laid it out as if a namespace ended in it. No test covered that the dropped body of a failure is bounded.

Change: the peak is reset before each call, the check is a function beside the others, and BodyOfAFailureIsGivenUp is new. The limits and times are the same. The responses of WholeAnswerDuringAnUploadIsTaken have names; nothing of it changes.

--- a/Tests/LibAsyncHttp/http_fetch_test.cc
+++ b/Tests/LibAsyncHttp/http_fetch_test.cc
@@ -107,16 +107,18 @@
 TEST(HttpFetch_BrokenAnswer, WholeAnswerDuringAnUploadIsTaken) {
   this->server.set_answers_before_body(true);
   const std::string head = "HTTP/1.1 413 Too Large\r\nServer: s\r\n";
-  for (const auto& response :
-       {ScriptedResponse{.bytes = head + "Content-Length: 2\r\n\r\n",
-       .late_bytes = "{}",
-       .resets = true},
-        ScriptedResponse{.bytes = head + "Transfer-Encoding: chunked\r\n\r\n",
-        .late_bytes = "2\r\n{}\r\n0\r\n\r\n",
-        .resets = true},
-        // The server closes in order and reads the rest of the request.
-        ScriptedResponse{
-            .bytes = head + "\r\n", .late_bytes = "{}", .closes = true}}) {
+  const ScriptedResponse with_length{
+      .bytes = head + "Content-Length: 2\r\n\r\n",
+      .late_bytes = "{}",
+      .resets = true};
+  const ScriptedResponse with_chunks{
+      .bytes = head + "Transfer-Encoding: chunked\r\n\r\n",
+      .late_bytes = "2\r\n{}\r\n0\r\n\r\n",
+      .resets = true};
+  // The server closes in order and reads the rest of the request.
+  const ScriptedResponse unframed{
+      .bytes = head + "\r\n", .late_bytes = "{}", .closes = true};
+  for (const auto& response : {with_length, with_chunks, unframed}) {
     this->answer = response;
     const auto fetched = this->Send(std::string(8u << 20, 'b'));
     STRCMP_EQUAL("{}", fetched ? fetched->body.c_str()
--- a/Tests/LibHttp/http_client_test.cc
+++ b/Tests/LibHttp/http_client_test.cc
@@ -2,10 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include <sys/resource.h>
-
+#include <fstream>
 #include <string>
+#include <string_view>
 #include <thread>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 
@@ -16,11 +17,44 @@
 
 namespace {
 
-/// The largest memory that this process has used so far.
+/// Starts a new measurement of the peak that PeakResidentBytes returns.
+void ResetPeakResidentBytes() {
+  std::ofstream("/proc/self/clear_refs") << "5";
+}
+
+/// The largest memory of this process since the last reset.
 std::uint64_t PeakResidentBytes() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  return static_cast<std::uint64_t>(usage.ru_maxrss) << 10;
+  std::ifstream status("/proc/self/status");
+  for (std::string line; std::getline(status, line);) {
+    if (constexpr std::string_view kName = "VmHWM:"; line.starts_with(kName)) {
+      return std::stoull(line.substr(kName.size())) << 10;
+    }
+  }
+  return 0;
+}
+
+/// A call to a server whose bytes never end must fail before its timeout, with
+/// little memory.
+void CheckIsGivenUp(EndlessServerOptions options) {
+  constexpr std::uint64_t kMaximumGrowth = 64u << 20;
+  boost::asio::io_context loop;
+  EndlessServer server(loop, std::move(options));
+  std::thread thread([&loop] { loop.run(); });
+  ResetPeakResidentBytes();
+  const std::uint64_t before = PeakResidentBytes();
+  const auto start = std::chrono::steady_clock::now();
+  const auto reply = SendHttpStreaming(
+      {.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/",
+       .timeout = std::chrono::seconds(5)},
+      [](std::string_view) { return true; });
+  const auto time = std::chrono::steady_clock::now() - start;
+  loop.stop();
+  thread.join();
+  CHECK_FALSE(reply.has_value());
+  CHECK(reply.error().verdict == Verdict::kMayHaveRun);
+  CHECK(time < std::chrono::seconds(4));
+  CHECK(before > 0);
+  CHECK(PeakResidentBytes() - before < kMaximumGrowth);
 }
 
 }  // namespace
@@ -212,32 +246,8 @@
   STRCMP_EQUAL("", this->wrong.c_str());
 }
 
-/// Servers whose bytes never end, each in a thread of its own, and the memory
-/// that a call uses before them.
-TEST_GROUP(HttpClient_EndlessBytes){
-
-    /// The call must fail before its timeout, with little memory.
-    void CheckIsGivenUp(EndlessServerOptions options){
-        constexpr std::uint64_t kMaximumGrowth = 64u << 20;
-boost::asio::io_context loop;
-EndlessServer server(loop, std::move(options));
-std::thread thread([&loop] { loop.run(); });
-const std::uint64_t before = PeakResidentBytes();
-const auto start = std::chrono::steady_clock::now();
-const auto reply = SendHttpStreaming(
-    {.url = "http://127.0.0.1:" + std::to_string(server.port()) + "/",
-     .timeout = std::chrono::seconds(5)},
-    [](std::string_view) { return true; });
-const auto time = std::chrono::steady_clock::now() - start;
-loop.stop();
-thread.join();
-CHECK_FALSE(reply.has_value());
-CHECK(reply.error().verdict == Verdict::kMayHaveRun);
-CHECK(time < std::chrono::seconds(4));
-CHECK(PeakResidentBytes() - before < kMaximumGrowth);
-}  // namespace crocus
-}
-;
+/// Calls to servers whose bytes never end.
+TEST_GROUP(HttpClient_EndlessBytes){};
 
 // Guards against keeping the fields of a head that never ends.
 TEST(HttpClient_EndlessBytes, HeadIsGivenUp) {
@@ -246,38 +256,45 @@
     fields +=
         "X-Field-" + std::to_string(i) + ": " + std::string(90, 'x') + "\r\n";
   }
-  this->CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\n", .repeated = fields});
+  CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\n", .repeated = fields});
 }
 
 // Guards against keeping a field that never ends.
 TEST(HttpClient_EndlessBytes, FieldIsGivenUp) {
-  this->CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\nX-Field: ",
-                        .repeated = std::string(4096, 'x')});
+  CheckIsGivenUp({.start = "HTTP/1.1 200 OK\r\nX-Field: ",
+                  .repeated = std::string(4096, 'x')});
 }
 
 // Guards against bytes that do not begin like an answer.
 TEST(HttpClient_EndlessBytes, BytesThatAreNoAnswerAreGivenUp) {
-  this->CheckIsGivenUp({.start = "", .repeated = std::string(4096, 'x')});
+  CheckIsGivenUp({.start = "", .repeated = std::string(4096, 'x')});
 }
 
 // Guards against reading interim responses until the timeout.
 TEST(HttpClient_EndlessBytes, InterimResponsesAreGivenUp) {
-  this->CheckIsGivenUp(
+  CheckIsGivenUp(
       {.start = "", .repeated = "HTTP/1.1 102 Wait\r\nX-Field: x\r\n\r\n"});
 }
 
 // Guards against keeping the extension of a chunk.
 TEST(HttpClient_EndlessBytes, ChunkExtensionIsGivenUp) {
-  this->CheckIsGivenUp(
+  CheckIsGivenUp(
       {.start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;e=",
        .repeated = std::string(4096, 'x')});
 }
 
 // Guards against keeping the fields after the last chunk.
 TEST(HttpClient_EndlessBytes, TrailerIsGivenUp) {
-  this->CheckIsGivenUp(
+  CheckIsGivenUp(
       {.start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
        .repeated = "X-Field: 0123456789abcdef\r\n"});
 }
 
+// Guards against dropping the body of a failure until the timeout.
+TEST(HttpClient_EndlessBytes, BodyOfAFailureIsGivenUp) {
+  CheckIsGivenUp(
+      {.start = "HTTP/1.1 500 Error\r\nTransfer-Encoding: chunked\r\n\r\n",
+       .repeated = "4000\r\n" + std::string(0x4000, 'x') + "\r\n"});
+}
+
 }  // namespace crocus
