--- a/Libraries/LibAsyncHttp/client_connection.cc
+++ b/Libraries/LibAsyncHttp/client_connection.cc
@@ -123,8 +123,8 @@
   boost::asio::async_write(
       this->socket, boost::asio::buffer(this->request_text),
       [self = this->shared_from_this()](const auto& error, std::size_t) {
-        // A failed write is not reported here: the read reports the reset,
-        // after any response that the server sent before it.
+        // A failed write is not reported here: the read reports the end of the
+        // connection, after any response that the server sent before it.
         self->is_request_sent = !error;
         self->has_write_failed = static_cast<bool>(error);
         // A connection is kept for long after its exchange.
