--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import struct
 import tempfile
@@ -584,15 +585,22 @@
     record(f"trouble: {'yes' if trouble else 'no'}")
 
     async def bounded():
+        # An end from outside must not leave gateways behind.
+        own = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
         with tempfile.TemporaryDirectory() as folder:
             gateways = []
             try:
                 return await asyncio.wait_for(
                     main(record, folder, trouble, gateways), 110)
-            except Exception as error:  # The case could not run.
+            except (Exception, asyncio.CancelledError) as error:
                 record(f"could not run: {error!r}")
                 return 2
             finally:
+                others = asyncio.all_tasks() - {own}
+                for task in others:
+                    task.cancel()
+                await asyncio.gather(*others, return_exceptions=True)
                 for gateway in gateways:
                     await gateway.stop()
                 if keep := os.environ.get("KEEP_LOGS"):
